--- /dev/null
+++ b/sorrelsill/constants.py
@@ -0,0 +1,104 @@
+"""Every constant of the service: value, unit and reason. Nothing else in the code holds a bare number
+that somebody might want to change. What depends on a deployment is derived from its settings in
+`settings.Timings`; the factors of those derivations stand here."""
+
+from typing import Final
+
+# --- protocol ---------------------------------------------------------------------------------------
+MAX_BODY: Final = 64 * 1024  # bytes; the protocol's limit for bodies in both directions
+MAX_SHARDS: Final = 100_000  # tasks; the protocol's limit per job
+WORKER_DROPS_AFTER_S: Final = 4.0  # s; a worker drops a response that comes later than this
+CLOCK_DRIFT: Final = 0.0005  # ratio; two steady clocks may drift apart by this much
+RENT_MAX: Final = 50  # machines; the cloud's limit per rental request
+RETURN_MAX: Final = 100  # names; the cloud's limit per return request
+LIST_PAGE: Final = 500  # machines; the cloud's limit per page
+KV_PAGE: Final = 1000  # keys; the state service's limit per page
+CONDITIONS_PER_OP: Final = 4  # conditions allowed for each put or delete of a transaction
+TXN_BYTES: Final = 56 * 1024  # bytes; below the 64 KiB of a transaction, as the limit counts JSON form
+
+# --- leadership -------------------------------------------------------------------------------------
+LEASE_OF_WORKER_LEASE: Final = 0.36  # ratio; a takeover (lease + acquire + a worker's way to the new
+#                                      leader, up to 5 s) has to end within the workers' lease
+LEASE_MIN_S: Final = 2.0  # s; below this an ordinary slow answer would cost the leadership
+LEASE_MAX_S: Final = 30.0  # s; the guide's lease, which is enough wherever workers allow it
+PING_OF_LEASE: Final = 1 / 6  # ratio; the guide's ping interval and ping time-out
+PING_MAX_S: Final = 5.0  # s; the guide's cap on both
+VALIDITY_OF_LEASE: Final = 2 / 3  # ratio; the guide's validity, from the send time of the last good ping
+STALL_LIMIT_S: Final = 10.0  # s; a leader's loop without a beat for this long counts as stalled
+SELF_RELEASE_S: Final = 10.0  # s; stalled for this long on top makes the leader yield (guide: 30 s, which
+#                                is longer than the workers' leases here)
+ACQUIRE_JITTER_S: Final = 0.05  # s; spreads the followers' attempts when the key goes
+
+# --- workers ----------------------------------------------------------------------------------------
+LOSS_MARGIN_S: Final = 0.5  # s; on top of lease and drift before silent work is declared lost
+START_BACKOFF_S: Final = 2.0  # s; first pause before a failed task is tried again; doubles
+START_BACKOFF_MAX_S: Final = 60.0  # s; cap of that pause
+HOST_ERRORS_SUSPECT: Final = 2  # distinct jobs failing on a machine before it is held faulty
+HOST_AVOID_S: Final = 120.0  # s; a machine that refused or failed a job's task is avoided for that job
+TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
+
+# --- state service ----------------------------------------------------------------------------------
+STORE_TIMEOUT_S: Final = 1.5  # s; an answer normally takes 10 ms, now and then a few hundred
+FOLLOW_HOLD_S: Final = 1.0  # s; length of a watch, which bounds how stale the view can silently get
+FOLLOW_GRACE_S: Final = 2.0  # s; a watch that is this much overdue is given up
+STORE_SHARE: Final = 0.9  # ratio; the part of the store's rates that all nodes together plan to use
+LEADER_WRITE_SHARE: Final = 0.6  # ratio; of the planned writes, the leader's part
+BARRIER_RATE_OF_RPS: Final = 0.12  # ratio; read barriers a node may make per second, of the store's rate
+VIEW_STALE_S: Final = 3.0  # s; no start on a job view older than this
+RETRY_S: Final = 0.25  # s; pause after a failed store call in a loop
+FINAL_CACHE: Final = 20_000  # jobs; finished jobs whose final state is held in memory
+CHUNK_SHARDS: Final = 16_384  # tasks; jobs above this keep finished tasks in keys of their own
+WRITER_TICK_S: Final = 0.2  # s; finished tasks and changed states are gathered this long per write
+
+# --- users ------------------------------------------------------------------------------------------
+RETRY_AFTER_S: Final = 1  # s; told with 503 and 429: the least a user waits anyway
+ADMIT_QUEUE: Final = 256  # submissions waiting for one batch; more are answered 429 at once
+ADMIT_DEADLINE_S: Final = 3.0  # s; a user waits 5 s: the final answer has to be out before
+POLL_DEADLINE_S: Final = 1.4  # s; a user waits 2 s for a poll
+READY_STORE_S: Final = 3.0  # s; a node alone without the store for this long says it is not ready
+TEAM_PAGE: Final = 200  # jobs; of a team's list per answer, well under the limit of an answer
+WHY_NOTES: Final = 8  # notes; newest reasons kept per job, why tasks stopped or wait
+
+# --- http -------------------------------------------------------------------------------------------
+IDLE_S: Final = 90.0  # s; an idle client connection is closed after this
+REQUEST_S: Final = 10.0  # s; a request has to arrive, and an answer be taken, within this
+SOCKET_RESERVE: Final = 80  # sockets; kept free of the quota for our own calls and for peers
+POOL_IDLE_S: Final = 20.0  # s; a kept client connection older than this is not used again
+POOL_MAX: Final = 8  # connections kept per address
+CONNECT_S: Final = 0.7  # s; a connection that takes longer is given up
+BACKLOG: Final = 256  # connections waiting to be accepted
+PEER_SOCKETS: Final = 16  # sockets; for connections from the other controllers
+
+# --- placement --------------------------------------------------------------------------------------
+TICK_S: Final = 0.1  # s; least time between two rounds of placing
+ROUND_BUDGET_S: Final = 0.03  # s; time a round of placing may take; the next one goes on from there
+SAMPLE: Final = 24  # machines looked at per task; best fit among these
+FETCH_WEIGHT: Final = 4.0  # score; a missing image against the whole of a machine left over
+ORDINARY_WEIGHT: Final = 0.5  # score; work that may use spot machines leaves the ordinary ones free
+ZONE_WEIGHT: Final = 1.0  # score; evenness of a job over the zones against a machine left over
+PREEMPT_PER_ROUND: Final = 8  # tasks; room is made for this many of a job per round
+PREEMPT_BASE_S: Final = 5.0  # s; what a stop costs besides the lost run time: fetching and starting again
+CLAIM_S: Final = 5.0  # s; room that was made is awaited this long before more is made
+
+# --- fleet ------------------------------------------------------------------------------------------
+CLOUD_SHARE: Final = 0.8  # ratio; of the cloud's rate that the leader plans to use
+CLOUD_TIMEOUT_S: Final = 5.0  # s; for an answer of the cloud
+LIST_EVERY_S: Final = 4.0  # s; between two readings of the machine list
+CATALOG_EVERY_S: Final = 60.0  # s; between two readings of the catalog once it is known
+NO_CAPACITY_S: Final = 8.0  # s; an offer that was refused is not asked again before this
+IDLE_RETURN_S: Final = 25.0  # s; a machine without work is returned after this where money counts
+IDLE_RETURN_FREE_S: Final = 600.0  # s; the same where no aim speaks of money
+BOOT_SLOW: Final = 4.0  # ratio; a machine still booting after this times its boot time ...
+BOOT_EXTRA_S: Final = 30.0  # s; ... plus this is given up and returned
+SILENT_RETURN_S: Final = 30.0  # s; a machine whose work is lost and that stays silent goes back after this
+RENT_TRIES: Final = 4  # tries; of one rental request before it is planned anew
+DEADLINE_USE: Final = 0.7  # ratio; of the time to a deadline that is planned for, as estimates are often wrong
+FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
+MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
+
+# --- peers ------------------------------------------------------------------------------------------
+PROMISE_S: Final = 3.0  # s; a promise not to lead or acquire lasts this long
+PROMISE_EVERY_S: Final = 1.0  # s; and is renewed this often
+PROMISE_AFTER_S: Final = 1.0  # s; without the store for this long a node asks for promises
+PROMISE_MARGIN_S: Final = 0.2  # s; the holder counts a promise as shorter by this, for drift and late timers
+PEER_TIMEOUT_S: Final = 0.8  # s; for an answer of a peer
--- /dev/null
+++ b/sorrelsill/fleet/manager.py
@@ -0,0 +1,331 @@
+"""The leader's dealings with the cloud: a wanted fleet, and a loop that works out the difference."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.fleet.catalog import Catalog, parse_catalog
+from sorrelsill.fleet.rentals import Need, Offer, Pending, overdue, plan
+from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.settings import CloudLimits
+from sorrelsill.store.budget import Bucket
+
+if TYPE_CHECKING:
+    from sorrelsill.placement import Unplaced
+    from sorrelsill.workers import Host, Ledger
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder().decode
+
+
+class CloudError(Exception):
+    """`sent` tells whether the request may have been carried out."""
+
+    def __init__(self, text: str, status: int = 0, sent: bool = False) -> None:
+        super().__init__(text)
+        self.status = status
+        self.sent = sent
+
+
+class Cloud:
+    """The cloud's calls, under its rate."""
+
+    def __init__(self, client: Client, limits: CloudLimits) -> None:
+        self._client = client
+        self.bucket = Bucket(limits.rps * C.CLOUD_SHARE, max(1.0, limits.rps))
+
+    async def call(self, method: str, target: str, body: Any = None) -> dict[str, Any]:
+        await self.bucket.wait()
+        try:
+            status, raw = await self._client.request(
+                method, target, _encode(body) if body is not None else b"", C.CLOUD_TIMEOUT_S
+            )
+            answer = _decode(raw) if raw else {}
+        except NotSent as error:
+            raise CloudError(str(error)) from None
+        except (NoAnswer, msgspec.DecodeError) as error:
+            raise CloudError(str(error), sent=True) from None
+        if status == 429:
+            self.bucket.drain()
+        if status != 200 or not isinstance(answer, dict):
+            why = answer.get("error") if isinstance(answer, dict) else None
+            raise CloudError(f"{status} {why}", status, sent=status not in (400, 429, 503))
+        return answer
+
+
+@dataclass(slots=True)
+class _Rental:
+    """A request under its own name; after a lost answer it is repeated under the same name."""
+
+    ref: str
+    offer: Offer
+    count: int
+    tries: int = 0
+    next_at: float = 0.0
+
+
+class FleetManager:
+    """One per term: what is rented and on its way, which offers were refused, which returns are due."""
+
+    def __init__(
+        self, cloud: Cloud, ledger: Ledger, valid: Callable[[], bool], demand: Callable[[], list[Unplaced]],
+        money_counts: bool, lag_s: float,
+    ) -> None:  # fmt: skip
+        self._cloud = cloud
+        self._ledger = ledger
+        self._valid = valid
+        self._demand = demand
+        self._money = money_counts
+        self._lag = lag_s
+        self.pending: dict[str, Pending] = {}
+        self.refused: dict[Offer, float] = {}
+        self._open: list[_Rental] = []
+        self._counter = 0
+        self._listed_at = float("-inf")
+        self._catalog_at = float("-inf")
+        self._lists = 0
+        self._running_since: dict[str, float] = {}
+        self._give_back: dict[str, str] = {}  # machine -> why it goes back
+        self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
+
+    async def step(self) -> None:
+        """One action at the most; what is most urgent goes first."""
+        now = trio.current_time()
+        if not self._ledger.catalog.flavours or now - self._catalog_at > C.CATALOG_EVERY_S:
+            await self._read_catalog()
+            if not self._ledger.catalog.flavours:
+                return
+        self._forget_arrived(now)
+        self._choose_returns(now)
+        if now - self._listed_at >= C.LIST_EVERY_S:
+            await self._read_list()
+        if not self._valid():
+            return
+        if self._give_back:
+            await self._return()
+        if not self._valid():
+            return
+        self._choose_rentals(trio.current_time())
+        await self._rent()
+
+    # --- reading ---
+
+    async def _read_catalog(self) -> None:
+        self._catalog_at = trio.current_time()
+        try:
+            raw = await self._cloud.call("GET", "/catalog")
+            catalog = parse_catalog(raw)
+        except (CloudError, ValueError) as error:
+            log.info("catalog: %s", error)
+            self._catalog_at += C.RETRY_S * 8 - C.CATALOG_EVERY_S
+            return
+        self.on_catalog(raw, catalog)
+
+    async def _read_list(self) -> None:
+        self._listed_at = trio.current_time()
+        found: dict[str, dict[str, Any]] = {}
+        last = ""
+        try:
+            while True:
+                target = f"/rentals?page={C.LIST_PAGE}" + (f"&from={last}" if last else "")
+                answer = await self._cloud.call("GET", target)
+                hosts = answer.get("hosts") or []
+                for item in hosts:
+                    last = str(item["uid"])
+                    found[last] = item
+                if not answer.get("hasNext") or not hosts:
+                    break
+        except (CloudError, KeyError, TypeError) as error:
+            log.info("machine list: %s", error)
+            return
+        if self._valid():
+            self.take_list(found, trio.current_time())
+
+    def take_list(self, found: dict[str, dict[str, Any]], now: float) -> None:
+        """The list lags: it adds machines not known and tells of failed ones; absence proves little."""
+        self._lists += 1
+        for name, item in found.items():
+            phase = item.get("phase")
+            host = self._ledger.hosts.get(name)
+            if phase == "failed":
+                self._ledger.gone_for_certain(name, now, "machine failed")
+                self.pending.pop(name, None)
+                self._give_back[name] = "failed"
+                continue
+            if phase == "running":
+                self._running_since.setdefault(name, now)
+            if host is None and name not in self.pending and name not in self._give_back:
+                age = float(item.get("ageS") or 0.0)
+                self.pending[name] = Pending(
+                    name, str(item.get("flavour")), str(item.get("region")), bool(item.get("reclaimable")), now - age
+                )
+        for name in [n for n in self._running_since if n not in found]:
+            del self._running_since[name]
+        patience = 3 * self._lag + C.LIST_EVERY_S
+        for name, pending in list(self.pending.items()):
+            if name not in found and now - pending.since > patience:
+                del self.pending[name]
+        for name, host in list(self._ledger.hosts.items()):
+            if name not in found and host.lost and now - host.seen_at > patience:
+                del self._ledger.hosts[name]
+
+    # --- returning ---
+
+    def _forget_arrived(self, now: float) -> None:
+        for name in [n for n in self.pending if n in self._ledger.hosts]:
+            del self.pending[name]
+        self.refused = {o: t for o, t in self.refused.items() if t > now}
+
+    def _choose_returns(self, now: float) -> None:
+        idle = C.IDLE_RETURN_S if self._money else C.IDLE_RETURN_FREE_S
+        for host in self._ledger.hosts.values():
+            if host.name in self._give_back:
+                continue
+            if host.lost:
+                if now - host.seen_at > self._ledger.loss_s + C.SILENT_RETURN_S:
+                    self._give_back[host.name] = "silent"
+                continue
+            if host.attempts or host.evict_at is not None or not host.synced:
+                continue
+            if host.faulty:
+                self._start_return(host, "faulty")
+            elif now - max(host.idle_since, self._ledger.started) > idle:
+                self._start_return(host, "idle")
+        for name, pending in self.pending.items():
+            up = self._running_since.get(name)
+            if overdue(pending, self._ledger.catalog, now):
+                self._give_back.setdefault(name, "never came up")
+            elif up is not None and now - up > 2 * C.SILENT_RETURN_S:
+                self._give_back.setdefault(name, "up but silent")
+
+    def _start_return(self, host: Host, why: str) -> None:
+        host.returning = True
+        self._give_back[host.name] = why
+
+    async def _return(self) -> None:
+        """Nothing is bound to what goes back; that was decided without an await in between."""
+        names = []
+        for name in list(self._give_back):
+            host = self._ledger.hosts.get(name)
+            if host is not None and any(a.spec is not None for a in host.attempts.values()):
+                # It came back to life, with work: it stays.
+                host.returning = False
+                del self._give_back[name]
+                continue
+            if host is not None:
+                host.returning = True
+            names.append(name)
+        names = names[: C.RETURN_MAX]
+        if not names:
+            return
+        try:
+            await self._cloud.call("POST", "/rentals/return", {"hosts": names})
+        except CloudError as error:
+            log.info("returning: %s", error)
+            return
+        now = trio.current_time()
+        for name in names:
+            log.info("returned %s: %s", name, self._give_back.get(name))
+            self._give_back.pop(name, None)
+            self.pending.pop(name, None)
+            self._ledger.gone_for_certain(name, now, "machine returned")
+
+    # --- renting ---
+
+    def needs(self, now: float) -> list[Need]:
+        out = []
+        for item in self._demand():
+            if item.limited:
+                continue
+            job, spec = item.job, item.job.spec
+            count = min(item.count, 40 * C.RENT_MAX)
+            if self._money and spec.due_s is not None and not spec.endless:
+                count = min(count, self._enough(item, now))
+            if count > 0:
+                out.append(
+                    Need(
+                        count,
+                        spec.cpus,
+                        spec.gpus,
+                        spec.memory,
+                        spec.flavours,
+                        spec.zone,
+                        spec.spot,
+                        spec.zone_limit if spec.scatter else None,
+                        dict(job.zones),
+                    )  # fmt: skip
+                )
+        return out
+
+    def _enough(self, item: Unplaced, now: float) -> int:
+        """How many more tasks at once meet the deadline: machines beyond that cost without use."""
+        job, spec = item.job, item.job.spec
+        assert spec.due_s is not None
+        kinds = [f for f in self._ledger.catalog.flavours.values() if f.fits(spec.cpus, spec.gpus, spec.memory)]
+        boot = min((f.boot_s for f in kinds), default=0.0)
+        pull = max((spec.bundle_gb / f.pull_rate for f in kinds), default=0.0)
+        left = (job.submitted + spec.due_s - now) * C.DEADLINE_USE - boot - pull
+        waves = max(1, int(left / max(1.0, spec.expected_s)))
+        tasks = spec.shards - job.done.count
+        return max(0, -(-tasks // waves) - len(job.bound))
+
+    def _choose_rentals(self, now: float) -> None:
+        if self._open or self._lists == 0:
+            return  # first learn what is there: an earlier leader's rentals are still coming up
+        in_zone: dict[str, int] = {}
+        for host in self._ledger.hosts.values():
+            in_zone[host.zone] = in_zone.get(host.zone, 0) + 1
+        for p in self.pending.values():
+            in_zone[p.zone] = in_zone.get(p.zone, 0) + 1
+        wanted = plan(self.needs(now), list(self.pending.values()), self._ledger.catalog, self.refused, now, in_zone)
+        for offer, count in sorted(wanted.items(), key=lambda i: -i[1]):
+            self._counter += 1
+            ref = f"r-{self._ledger.term}-{self._counter}"
+            self._open.append(_Rental(ref, offer, min(count, C.RENT_MAX)))
+
+    async def _rent(self) -> None:
+        now = trio.current_time()
+        due = [r for r in self._open if r.next_at <= now]
+        if not due:
+            return
+        rental = due[0]
+        flavour, zone, spot = rental.offer
+        body = {
+            "hireRef": rental.ref, "flavour": flavour, "region": zone, "reclaimable": spot, "howMany": rental.count,
+        }  # fmt: skip
+        rental.tries += 1
+        try:
+            answer = await self._cloud.call("POST", "/rentals", body)
+            names = [str(n) for n in answer["hosts"]]
+        except (CloudError, KeyError, TypeError) as error:
+            status = getattr(error, "status", 0)
+            now = trio.current_time()
+            if "no capacity" in str(error) or status == 400:
+                self.refused[rental.offer] = now + C.NO_CAPACITY_S
+                self._open.remove(rental)
+            elif rental.tries >= C.RENT_TRIES and not getattr(error, "sent", True):
+                self._open.remove(rental)
+            elif rental.tries >= 3 * C.RENT_TRIES:
+                # If it was carried out after all, the machines show up by their reports and in the list.
+                self._open.remove(rental)
+            else:
+                rental.next_at = now + min(5.0, C.RETRY_S * 2**rental.tries)
+            log.info("renting %d %s in %s: %s", rental.count, flavour, zone, error)
+            return
+        now = trio.current_time()
+        self._open.remove(rental)
+        for name in names:
+            if name not in self._ledger.hosts:
+                self.pending[name] = Pending(name, flavour, zone, spot, now)
+        if len(names) < rental.count:
+            self.refused[rental.offer] = now + C.NO_CAPACITY_S
+        log.info("rented %d of %d %s in %s, spot %s", len(names), rental.count, flavour, zone, spot)
--- /dev/null
+++ b/sorrelsill/fleet/rentals.py
@@ -0,0 +1,143 @@
+"""What to rent and what to return: pure decisions, given the ledger, the demand and the time."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from sorrelsill import constants as C
+from sorrelsill.fleet.catalog import Catalog, Flavour
+
+Offer = tuple[str, str, bool]  # machine type, zone, spot
+
+
+@dataclass(slots=True)
+class Pending:
+    """A machine that was rented and has not reported yet."""
+
+    name: str
+    flavour: str
+    zone: str
+    spot: bool
+    since: float
+
+
+@dataclass(slots=True)
+class Need:
+    """Tasks of one job for which room has to be rented."""
+
+    count: int
+    cpus: float
+    gpus: float
+    memory: float
+    flavours: frozenset[str] | None
+    zone: str | None
+    spot: bool
+    per_zone: int | None  # most tasks of these that may go to one zone
+    zones: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Bin:
+    offer: Offer
+    cpus: float
+    gpus: float
+    memory: float
+
+
+def plan(
+    needs: list[Need], pending: list[Pending], catalog: Catalog, refused: dict[Offer, float], now: float,
+    in_zone: dict[str, int],
+) -> dict[Offer, int]:  # fmt: skip
+    """Machines to rent: first-fit into what is already on its way, then the cheapest offer per task."""
+    bins = []
+    for p in pending:
+        kind = catalog.flavours.get(p.flavour)
+        if kind is not None:
+            bins.append(_Bin((p.flavour, p.zone, p.spot), kind.cpus, kind.gpus, kind.memory))
+    wanted: dict[Offer, int] = {}
+    for need in needs:
+        zones = dict(need.zones)
+        left = need.count
+        for b in bins:
+            if left <= 0:
+                break
+            left -= _fill(need, b, left, zones)
+        while left > 0:
+            offer = _best_offer(need, catalog, refused, now, zones, in_zone, wanted)
+            if offer is None:
+                break
+            kind = catalog.flavours[offer[0]]
+            b = _Bin(offer, kind.cpus, kind.gpus, kind.memory)
+            put = _fill(need, b, left, zones)
+            if put == 0:
+                break
+            left -= put
+            bins.append(b)
+            wanted[offer] = wanted.get(offer, 0) + 1
+            if sum(wanted.values()) >= 2 * C.RENT_MAX:
+                return wanted
+    return wanted
+
+
+def _allows(need: Need, offer: Offer) -> bool:
+    return (
+        (need.flavours is None or offer[0] in need.flavours)
+        and (need.zone is None or need.zone == offer[1])
+        and (need.spot or not offer[2])
+    )
+
+
+def _capacity(need: Need, cpus: float, gpus: float, memory: float) -> int:
+    fits = [1e9]
+    for have, want in ((cpus, need.cpus), (gpus, need.gpus), (memory, need.memory)):
+        if want > 0:
+            fits.append((have + 1e-6) / want)
+    return math.floor(min(fits))
+
+
+def _fill(need: Need, b: _Bin, left: int, zones: dict[str, int]) -> int:
+    if not _allows(need, b.offer):
+        return 0
+    count = min(left, _capacity(need, b.cpus, b.gpus, b.memory))
+    if need.per_zone is not None:
+        count = min(count, need.per_zone - zones.get(b.offer[1], 0))
+    if count <= 0:
+        return 0
+    b.cpus -= count * need.cpus
+    b.gpus -= count * need.gpus
+    b.memory -= count * need.memory
+    zones[b.offer[1]] = zones.get(b.offer[1], 0) + count
+    return count
+
+
+def _best_offer(
+    need: Need, catalog: Catalog, refused: dict[Offer, float], now: float, zones: dict[str, int],
+    in_zone: dict[str, int], wanted: dict[Offer, int],
+) -> Offer | None:  # fmt: skip
+    best: tuple[tuple[float, int, str], Offer] | None = None
+    for kind in catalog.flavours.values():
+        most = _capacity(need, kind.cpus, kind.gpus, kind.memory)
+        if most <= 0:
+            continue
+        for zone in kind.regions:
+            if need.per_zone is not None and zones.get(zone, 0) >= need.per_zone:
+                continue
+            for spot in (True, False):
+                offer = (kind.sku, zone, spot)
+                if not _allows(need, offer) or refused.get(offer, 0.0) > now:
+                    continue
+                # Whole machines only pay off if they are filled, so a small need looks for a small machine.
+                cost = kind.cost(spot) / min(most, need.count)
+                have = in_zone.get(zone, 0) + sum(n for o, n in wanted.items() if o[1] == zone)
+                key = (round(cost, 6), have, zone)
+                if best is None or key < best[0]:
+                    best = (key, offer)
+    return best[1] if best is not None else None
+
+
+def overdue(pending: Pending, catalog: Catalog, now: float) -> bool:
+    """A machine that has been booting for far too long never comes up, but is charged."""
+    kind: Flavour | None = catalog.flavours.get(pending.flavour)
+    boot = kind.boot_s if kind is not None else C.MIN_CHARGE_S
+    return now - pending.since > C.BOOT_SLOW * boot + C.BOOT_EXTRA_S
--- /dev/null
+++ b/sorrelsill/http/client.py
@@ -0,0 +1,125 @@
+"""The client side: one request at a time per connection, a small pool of kept connections per address."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.settings import split_addr
+
+
+class NotSent(Exception):
+    """No connection: the request was certainly not carried out."""
+
+
+class NoAnswer(Exception):
+    """Sent, but no proper answer: the request may have been carried out, or may yet be."""
+
+
+Connect = Callable[[str], Awaitable[trio.abc.Stream]]
+
+
+async def connect_tcp(addr: str) -> trio.abc.Stream:
+    """A TCP connection to a numeric address, without any name look-up (and so without a thread)."""
+    sock = trio.socket.socket()
+    try:
+        await sock.connect(split_addr(addr))
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+class _Conn:
+    __slots__ = ("h11", "stream", "used")
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.used = trio.current_time()
+
+
+class Client:
+    """Requests to one address. A connection is kept only after a whole, regular exchange."""
+
+    def __init__(self, addr: str, connect: Connect = connect_tcp) -> None:
+        self.addr = addr
+        self._connect = connect
+        self._idle: list[_Conn] = []
+
+    async def request(
+        self, method: str, target: str, body: bytes = b"", timeout: float = C.STORE_TIMEOUT_S
+    ) -> tuple[int, bytes]:
+        """Status and body, or NotSent or NoAnswer."""
+        conn: _Conn | None = None
+        sent = False
+        with trio.move_on_after(timeout):
+            try:
+                conn = self._take() or await self._open()
+                head = [("Host", self.addr), ("Content-Length", str(len(body)))]
+                if body:
+                    head.append(("Content-Type", "application/msgpack"))
+                data = conn.h11.send(h11.Request(method=method, target=target, headers=head)) or b""
+                if body:
+                    data += conn.h11.send(h11.Data(data=body)) or b""
+                data += conn.h11.send(h11.EndOfMessage()) or b""
+                sent = True
+                await conn.stream.send_all(data)
+                status, answer = await self._answer(conn)
+                self._keep(conn)
+                conn = None
+                return status, answer
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
+                raise (NoAnswer if sent else NotSent)(f"{self.addr}: {error}") from None
+            finally:
+                if conn is not None:
+                    await trio.aclose_forcefully(conn.stream)
+        raise (NoAnswer if sent else NotSent)(f"{self.addr}: no answer within {timeout:.1f} s")
+
+    async def _answer(self, conn: _Conn) -> tuple[int, bytes]:
+        status = 0
+        chunks: list[bytes] = []
+        while True:
+            event = conn.h11.next_event()
+            if event is h11.NEED_DATA:
+                conn.h11.receive_data(bytes(await conn.stream.receive_some(65536)))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return status, b"".join(chunks)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise OSError("connection closed before the answer")
+
+    def _take(self) -> _Conn | None:
+        now = trio.current_time()
+        while self._idle:
+            conn = self._idle.pop()
+            if now - conn.used < C.POOL_IDLE_S:
+                return conn
+            _close_now(conn.stream)
+        return None
+
+    async def _open(self) -> _Conn:
+        with trio.move_on_after(C.CONNECT_S):
+            return _Conn(await self._connect(self.addr))
+        raise OSError("connecting took too long")
+
+    def _keep(self, conn: _Conn) -> None:
+        if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE and len(self._idle) < C.POOL_MAX:
+            conn.h11.start_next_cycle()
+            conn.used = trio.current_time()
+            self._idle.append(conn)
+        else:
+            _close_now(conn.stream)
+
+
+def _close_now(stream: trio.abc.Stream) -> None:
+    """Close without awaiting, where the stream allows it (a socket does)."""
+    sock = getattr(stream, "socket", None)
+    if sock is not None:
+        sock.close()
--- /dev/null
+++ b/sorrelsill/jobs/admission.py
@@ -0,0 +1,289 @@
+"""Submissions, polls and cancellations: the users' side of a controller. Any controller serves them.
+
+What was told to a user may never be taken back, so every answer but the final ones rests on a read of
+the state service that began after the request came (a barrier), and every change is committed before it
+is answered. What cannot be done now is refused at once with Retry-After."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.fleet import Catalog
+from sorrelsill.jobs.messages import BadJob, Spec, parse_spec, valid_uid
+from sorrelsill.jobs.records import final_record, impossible, new_record, parse_record
+from sorrelsill.settings import Team
+from sorrelsill.store import (
+    Ambiguous,
+    Condition,
+    Put,
+    Remove,
+    Store,
+    Unavailable,
+    View,
+    chunk_key,
+    final_key,
+    job_key,
+)
+
+log = logging.getLogger(__name__)
+
+Answer = tuple[int, dict[str, Any]]
+
+
+class Busy(Exception):
+    """Can't be taken now; the user is told to come back."""
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    spec: Spec
+    deadline: float
+    done: trio.Event = field(default_factory=trio.Event)
+    answer: Answer | None = None
+
+
+def _state(uid: str, value: dict[str, Any]) -> dict[str, Any]:
+    done, running = int(value.get("n") or 0), int(value.get("r") or 0)
+    return {"uid": uid, "phase": "running" if running else "pending", "done": done, "running": running}
+
+
+class Admission:
+    def __init__(self, store: Store, view: View, teams: list[Team], time_of_day: Callable[[], float]) -> None:
+        self._store = store
+        self._view = view
+        self._teams = {t.name: t for t in teams}
+        self._time_of_day = time_of_day
+        self.catalog: Catalog | None = None
+        self._queue: list[_Waiting] = []
+        self._asked = trio.Event()
+
+    # --- submission ---
+
+    async def submit(self, body: Any) -> Answer:
+        try:
+            spec = parse_spec(body)
+        except BadJob as error:
+            # A known job's repeat may be sent by a client gone wrong; it is still malformed.
+            return 400, {"error": str(error)}
+        known = self._known(spec.uid)
+        if known is not None:
+            return 200, known
+        if len(self._queue) >= C.ADMIT_QUEUE:
+            raise Busy("too many submissions are waiting")
+        waiting = _Waiting(spec, trio.current_time() + C.ADMIT_DEADLINE_S)
+        self._queue.append(waiting)
+        self._asked.set()
+        with trio.move_on_after(C.ADMIT_DEADLINE_S):
+            await waiting.done.wait()
+        if waiting.answer is None:
+            raise Busy("the state service did not take the job in time")
+        return waiting.answer
+
+    def _known(self, uid: str) -> dict[str, Any] | None:
+        """What is known of a job without asking; enough to say that it was accepted."""
+        final = self._view.final(uid)
+        if final is not None:
+            return {"uid": uid, "phase": final["p"], "done": final.get("n", 0), "running": 0}
+        return None
+
+    async def run(self) -> None:
+        """Batches: what came while one was under way goes with the next."""
+        while True:
+            await self._asked.wait()
+            self._asked = trio.Event()
+            while self._queue:
+                limit = max(1, self._store.txn_ops)
+                batch: list[_Waiting] = []
+                size = 0
+                while self._queue and len(batch) < limit:
+                    size += len(str(self._queue[0].spec.raw)) + 200
+                    if batch and size > C.TXN_BYTES:
+                        break
+                    batch.append(self._queue.pop(0))
+                try:
+                    await self._admit(batch)
+                except Exception:
+                    # Guards against one odd batch ending the loop: its users are told to come back.
+                    log.exception("admission failed")
+                for waiting in batch:
+                    waiting.done.set()
+
+    async def _admit(self, batch: list[_Waiting]) -> None:
+        now = trio.current_time()
+        todo: dict[str, list[_Waiting]] = {}
+        for waiting in batch:
+            if waiting.deadline > now:
+                todo.setdefault(waiting.spec.uid, []).append(waiting)
+        # A repeat is looked up before it is judged: the limits may have changed since it was accepted.
+        for uid in list(todo):
+            spec = todo[uid][0].spec
+            if self.catalog is None or impossible(spec, self._teams, self.catalog):
+                await self._judge(uid, todo.pop(uid))
+        for _ in range(3):
+            if not todo:
+                return
+            conditions: list[Condition] = []
+            writes: list[Put | Remove] = []
+            records = {u: new_record(g[0].spec, self._time_of_day()) for u, g in todo.items()}
+            for uid in todo:
+                conditions += [Condition(job_key(uid), 0), Condition(final_key(uid), 0)]
+                writes.append(Put(job_key(uid), records[uid]))
+            try:
+                txn = await self._store.multi(conditions, writes)
+            except Unavailable as error:
+                if error.throttled and trio.current_time() < now + C.ADMIT_DEADLINE_S / 2:
+                    await trio.sleep(C.RETRY_S)
+                    continue
+                return
+            except Ambiguous:
+                # It may have been written: what stands there now is an accepted job, whoever wrote it.
+                for uid, group in todo.items():
+                    await self._settle(uid, group)
+                return
+            if txn.ok:
+                for uid, group in todo.items():
+                    self._view.apply(job_key(uid), records[uid], txn.rev, True)
+                    for waiting in group:
+                        waiting.answer = 201, {"uid": uid, "phase": "pending"}
+                return
+            for key in txn.failed:
+                uid = key.rsplit("/", 1)[-1]
+                if uid in todo:
+                    await self._settle(uid, todo.pop(uid))
+
+    async def _lookup(self, uid: str) -> dict[str, Any] | None:
+        """The job's state by direct reads, or None if it was never accepted at the first read."""
+        for key in (job_key(uid), final_key(uid)):
+            found = await self._store.get(key)
+            if found is not None and isinstance(found[0], dict):
+                value = found[0]
+                if "p" in value:
+                    self._view.remember_final(uid, value)
+                    return {"uid": uid, "phase": value["p"], "done": value.get("n", 0), "running": 0}
+                return _state(uid, value)
+        return None
+
+    async def _settle(self, uid: str, group: list[_Waiting]) -> bool:
+        try:
+            state = await self._lookup(uid)
+        except (Unavailable, Ambiguous):
+            return False
+        for waiting in group if state is not None else []:
+            waiting.answer = 200, state or {}
+        return state is not None
+
+    async def _judge(self, uid: str, group: list[_Waiting]) -> None:
+        try:
+            state = await self._lookup(uid)
+        except (Unavailable, Ambiguous):
+            return
+        for waiting in group:
+            if state is not None:
+                waiting.answer = 200, state
+            elif self.catalog is not None:
+                reason = impossible(waiting.spec, self._teams, self.catalog)
+                waiting.answer = 422, {"error": reason or "can never run"}
+
+    # --- polls ---
+
+    async def poll(self, uid: str) -> Answer:
+        if not valid_uid(uid):
+            return 404, {"error": "no such job"}
+        known = self._known(uid)
+        if known is not None:
+            return 200, known
+        if self._store.failing_for() > C.READY_STORE_S / 2:
+            raise Busy("the state service can't be reached")
+        with trio.move_on_after(C.POLL_DEADLINE_S):
+            if not await self._view.barrier():
+                raise Busy("the state service does not answer")
+            known = self._known(uid)
+            if known is not None:
+                return 200, known
+            live = self._view.job(uid)
+            if live is not None:
+                return 200, _state(uid, live[0])
+            # Not live after the barrier: over long ago, or never accepted when the poll came.
+            try:
+                found = await self._store.get(final_key(uid))
+            except (Unavailable, Ambiguous) as error:
+                raise Busy(str(error)) from None
+            if found is None:
+                return 404, {"error": "no such job"}
+            self._view.remember_final(uid, found[0])
+            return 200, {"uid": uid, "phase": found[0]["p"], "done": found[0].get("n", 0), "running": 0}
+        raise Busy("the state service is slow")
+
+    # --- for operators and teams ---
+
+    async def why(self, uid: str) -> Answer:
+        """Why the job's tasks stopped or wait: the newest notes."""
+        status, answer = await self.poll(uid)
+        if status == 200:
+            live = self._view.job(uid)
+            value = self._view.final(uid) or (live[0] if live is not None else {})
+            answer["why"] = [str(w) for w in value.get("w") or []]
+        return status, answer
+
+    async def team(self, name: str, after: str) -> Answer:
+        """A team's live jobs, and only its own, in order of their ids."""
+        if name not in self._teams:
+            return 404, {"error": "no such team"}
+        if not await self._view.barrier():
+            raise Busy("the state service does not answer")
+        mine = sorted(
+            ((uid, value) for uid, value, _ in self._view.jobs() if value["s"].get("owner") == name and uid > after),
+            key=lambda item: item[0],
+        )
+        page = [{**_state(uid, value), "workload": value["s"].get("workload")} for uid, value in mine[: C.TEAM_PAGE]]
+        return 200, {"runs": page, "hasNext": len(mine) > len(page)}
+
+    # --- cancel ---
+
+    async def cancel(self, uid: str) -> Answer:
+        if not valid_uid(uid):
+            return 404, {"error": "no such job"}
+        try:
+            with trio.move_on_after(C.ADMIT_DEADLINE_S):
+                return await self._cancel(uid)
+        except (Unavailable, Ambiguous) as error:
+            raise Busy(str(error)) from None
+        raise Busy("the state service is slow")
+
+    async def _cancel(self, uid: str) -> Answer:
+        while True:
+            final = self._view.final(uid)
+            if final is None:
+                found = await self._store.get(final_key(uid))
+                final = found[0] if found is not None else None
+                if final is not None:
+                    self._view.remember_final(uid, final)
+            if final is not None:
+                return 200, {"uid": uid, "phase": final["p"]}
+            live = await self._store.get(job_key(uid))
+            if live is None:
+                final = await self._store.get(final_key(uid))
+                if final is None:
+                    return 404, {"error": "no such job"}
+                continue
+            value, rev = live
+            spec, done, why = parse_record(value, [])
+            if done.size == int(value.get("n") or 0):
+                # Every task is done and recorded; only the move to the final key is missing.
+                record = final_record("done", spec, done.size, why)
+            else:
+                record = final_record("cancelled", spec, int(value.get("n") or 0), [*why, "cancelled by its user"])
+            chunks = [Remove(chunk_key(uid, n)) for n, _ in self._view.chunks(uid)]
+            writes: list[Put | Remove] = [Remove(job_key(uid)), Put(final_key(uid), record)]
+            room = max(0, self._store.txn_ops - 2)
+            txn = await self._store.multi([Condition(job_key(uid), rev)], [*writes, *chunks[:room]])
+            if txn.ok:
+                self._view.apply(job_key(uid), None, txn.rev, False)
+                self._view.remember_final(uid, record)
+                return 200, {"uid": uid, "phase": record["p"]}
--- /dev/null
+++ b/sorrelsill/jobs/messages.py
@@ -0,0 +1,145 @@
+"""The user's job as it comes over the wire, and the one form the rest of the code uses."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+from typing import Any
+
+from sorrelsill import constants as C
+
+SWEEP, STANDING, GANG = "sweep", "standing", "group"
+RANKS = {"prod": 0, "high": 1, "standard": 2, "best_effort": 3}
+
+_UID = re.compile(r"run-[A-Za-z0-9_.-]{1,120}\Z")
+_NAME_MAX = 200
+
+
+class BadJob(Exception):
+    """The field and what is wrong with it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Spec:
+    """A job's description, immutable for its whole life."""
+
+    uid: str
+    workload: str
+    team: str
+    shape: str
+    rank: int
+    shards: int
+    cpus: float
+    gpus: float
+    memory: float
+    flavours: frozenset[str] | None
+    zone: str | None
+    one_zone: bool
+    scatter: bool
+    spot: bool
+    bundle: str
+    bundle_gb: float
+    expected_s: float
+    snapshot_s: float
+    snapshot_cost_s: float
+    due_s: float | None
+    raw: dict[str, Any]
+
+    @property
+    def endless(self) -> bool:
+        return self.shape == STANDING
+
+    @property
+    def zone_limit(self) -> int:
+        """Most tasks of the job that may be in one zone at a time."""
+        return (self.shards + 1) // 2 if self.scatter else self.shards
+
+
+def valid_uid(uid: object) -> bool:
+    return isinstance(uid, str) and _UID.match(uid) is not None
+
+
+def _number(raw: dict[str, Any], name: str, least: float = 0.0, above: bool = False) -> float:
+    value = raw.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise BadJob(f"{name}: must be a number")
+    if not math.isfinite(value) or value < least or (above and value == least) or value > 1e12:
+        raise BadJob(f"{name}: out of range")
+    return float(value)
+
+
+def _text(raw: dict[str, Any], name: str) -> str:
+    value = raw.get(name)
+    if not isinstance(value, str) or not 0 < len(value) <= _NAME_MAX:
+        raise BadJob(f"{name}: must be a text of 1 to {_NAME_MAX} characters")
+    return value
+
+
+def _flag(raw: dict[str, Any], name: str) -> bool:
+    value = raw.get(name)
+    if not isinstance(value, bool):
+        raise BadJob(f"{name}: must be true or false")
+    return value
+
+
+def _flavours(raw: dict[str, Any]) -> frozenset[str] | None:
+    value = raw.get("flavours")
+    if value is None:
+        return None
+    if not isinstance(value, list) or not value or len(value) > _NAME_MAX:
+        raise BadJob("flavours: must be null or a list of names")
+    if not all(isinstance(v, str) and v for v in value):
+        raise BadJob("flavours: must hold names")
+    return frozenset(value)
+
+
+_KEPT = (
+    "uid", "workload", "owner", "shape", "rank", "shards", "vcpus", "gpus", "memoryGb", "bundle", "sizeGb",
+    "flavours", "region", "oneZone", "scatter", "reclaimable", "expectedRunS", "snapshotEveryS", "snapshotCostS",
+    "dueS",
+)  # fmt: skip
+
+
+def parse_spec(raw: object) -> Spec:
+    """Check every field; unknown ones are ignored and not kept."""
+    if not isinstance(raw, dict):
+        raise BadJob("body: must be a map")
+    if not valid_uid(raw.get("uid")):
+        raise BadJob("uid: must look like run-000412")
+    shape = raw.get("shape")
+    if shape not in (SWEEP, STANDING, GANG):
+        raise BadJob("shape: must be sweep or standing")
+    rank = raw.get("rank")
+    if not isinstance(rank, str) or rank not in RANKS:
+        raise BadJob("rank: must be prod, high, standard or best_effort")
+    shards = raw.get("shards")
+    if isinstance(shards, bool) or not isinstance(shards, int) or not 1 <= shards <= C.MAX_SHARDS:
+        raise BadJob(f"shards: must be a whole number from 1 to {C.MAX_SHARDS}")
+    zone = raw.get("region")
+    if zone is not None and (not isinstance(zone, str) or not zone):
+        raise BadJob("region: must be null or a name")
+    due = None if raw.get("dueS") is None else _number(raw, "dueS")
+    return Spec(
+        uid=raw["uid"],
+        workload=_text(raw, "workload"),
+        team=_text(raw, "owner"),
+        shape=shape,
+        rank=RANKS[rank],
+        shards=shards,
+        cpus=_number(raw, "vcpus"),
+        gpus=_number(raw, "gpus"),
+        memory=_number(raw, "memoryGb"),
+        flavours=_flavours(raw),
+        zone=zone,
+        one_zone=_flag(raw, "oneZone"),
+        scatter=_flag(raw, "scatter"),
+        spot=_flag(raw, "reclaimable"),
+        bundle=_text(raw, "bundle"),
+        bundle_gb=_number(raw, "sizeGb"),
+        expected_s=_number(raw, "expectedRunS"),
+        snapshot_s=_number(raw, "snapshotEveryS"),
+        snapshot_cost_s=_number(raw, "snapshotCostS"),
+        due_s=due,
+        raw={name: raw[name] for name in _KEPT if raw.get(name) is not None},
+    )
--- /dev/null
+++ b/sorrelsill/jobs/records.py
@@ -0,0 +1,130 @@
+"""Job records as they stand in the state service: `s/j/` while live, `s/f/` once over."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+from sorrelsill import constants as C
+from sorrelsill.fleet import Catalog
+from sorrelsill.jobs.messages import BadJob, Spec, parse_spec
+from sorrelsill.settings import Team
+
+
+class ShardSet:
+    """Finished tasks of a job: a bit each, written as ranges or, where that is shorter, as base64."""
+
+    __slots__ = ("_bits", "count", "size")
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.count = 0
+        self._bits = bytearray((size + 7) // 8)
+
+    def __contains__(self, index: int) -> bool:
+        return bool(self._bits[index >> 3] & (1 << (index & 7)))
+
+    def add(self, index: int) -> bool:
+        """True if it is new."""
+        mask = 1 << (index & 7)
+        if self._bits[index >> 3] & mask:
+            return False
+        self._bits[index >> 3] |= mask
+        self.count += 1
+        return True
+
+    def encode(self, start: int, end: int) -> str:
+        """Compact text of the part [start, end); start is a multiple of 8."""
+        ranges: list[str] = []
+        room = ((end - start + 7) // 8) * 4 // 3
+        length = 0
+        index = start
+        while index < end and length <= room:
+            if index in self:
+                first = index
+                while index < end and index in self:
+                    index += 1
+                text = str(first - start) if index - first == 1 else f"{first - start}-{index - 1 - start}"
+                ranges.append(text)
+                length += len(text) + 1
+            index += 1
+        if length <= room or not ranges:
+            return ",".join(ranges)
+        return "=" + base64.b64encode(bytes(self._bits[start >> 3 : (end + 7) >> 3])).decode()
+
+    def merge(self, text: str, start: int) -> None:
+        """Add what `encode` wrote. Anything out of range means a damaged record: ValueError."""
+        if text.startswith("="):
+            for at, byte in enumerate(base64.b64decode(text[1:])):
+                for bit in range(8):
+                    if byte & (1 << bit):
+                        self._add_checked(start + at * 8 + bit)
+            return
+        for part in text.split(",") if text else []:
+            first, _, last = part.partition("-")
+            for index in range(int(first), int(last or first) + 1):
+                self._add_checked(start + index)
+
+    def _add_checked(self, index: int) -> None:
+        if not 0 <= index < self.size:
+            raise ValueError(f"task {index} of {self.size}")
+        self.add(index)
+
+
+def new_record(spec: Spec, accepted: float) -> dict[str, Any]:
+    """`accepted` is the time of day; it only orders jobs and their deadlines, no rule rests on it."""
+    return {"s": spec.raw, "d": "", "n": 0, "r": 0, "t": round(accepted, 3)}
+
+
+def record_value(spec: Spec, done: ShardSet, running: int, why: list[str], accepted: float) -> dict[str, Any]:
+    """The live record. Very large jobs keep their finished tasks in chunks beside it."""
+    inline = done.encode(0, spec.shards) if spec.shards <= C.CHUNK_SHARDS else ""
+    value: dict[str, Any] = {"s": spec.raw, "d": inline, "n": done.count, "r": running, "t": accepted}
+    if why:
+        value["w"] = why
+    return value
+
+
+def chunk_value(done: ShardSet, number: int) -> str:
+    start = number * C.CHUNK_SHARDS
+    return done.encode(start, min(done.size, start + C.CHUNK_SHARDS))
+
+
+def final_record(phase: str, spec: Spec, done: int, why: list[str]) -> dict[str, Any]:
+    """What is kept for ever."""
+    value: dict[str, Any] = {"p": phase, "n": done, "o": spec.team}
+    if why:
+        value["w"] = why
+    return value
+
+
+def parse_record(value: Any, chunks: list[tuple[int, Any]]) -> tuple[Spec, ShardSet, list[str]]:
+    """A live record back to its parts; BadJob or ValueError if it is damaged."""
+    if not isinstance(value, dict):
+        raise BadJob("record: must be a map")
+    spec = parse_spec(value.get("s"))
+    done = ShardSet(spec.shards)
+    done.merge(str(value.get("d") or ""), 0)
+    for number, text in chunks:
+        done.merge(str(text), number * C.CHUNK_SHARDS)
+    return spec, done, [str(w) for w in value.get("w") or []]
+
+
+def impossible(spec: Spec, teams: dict[str, Team], catalog: Catalog) -> str | None:
+    """Why a job can never run (422), or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team}"
+    count = spec.shards if spec.shape != "sweep" else 1
+    if team.cpus_max and spec.cpus * count > team.cpus_max + 1e-9:
+        return f"needs more than the limit of {team.cpus_max:g} CPUs of {spec.team}"
+    if team.gpus_max and spec.gpus * count > team.gpus_max + 1e-9:
+        return f"needs more than the limit of {team.gpus_max:g} GPUs of {spec.team}"
+    for flavour in catalog.flavours.values():
+        if (
+            (spec.flavours is None or flavour.sku in spec.flavours)
+            and (spec.zone is None or spec.zone in flavour.regions)
+            and flavour.fits(spec.cpus, spec.gpus, spec.memory)
+        ):
+            return None
+    return "a task fits no allowed machine type"
--- /dev/null
+++ b/sorrelsill/leadership/elector.py
@@ -0,0 +1,214 @@
+"""One controller leads: it holds `s/leader`, a key attached to a lease in the state service.
+
+The term is that key's revision; it is the workers' token. The leader pings (renews its lease) every
+sixth of the lease and acts only while its last good ping was *sent* less than two thirds of the lease
+ago. Since the key cannot go before a whole lease after the last renewal arrived, another controller can
+take it only when this one has stopped acting.
+
+After Strøm's guide a ping slower than its interval makes the leader yield. Beyond the guide: an answer
+that says 'not carried out' (503, 429, refused) is no slow ping, and is repeated. When the validity runs
+out that way the leader only pauses: if a later ping still finds the lease, the key was ours all along
+(leases stand still during an outage of the store), and it goes on with the same term."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.settings import Timings
+from sorrelsill.store import LEADER, Ambiguous, Condition, Put, Store, Unavailable, View
+
+log = logging.getLogger(__name__)
+
+
+class Watchdog:
+    """Beats of the leader's loops. A loop without a beat for the stall limit, or that exited, is out."""
+
+    def __init__(self, stall_s: float, release_s: float) -> None:
+        self._stall_s = stall_s
+        self._release_s = release_s
+        self._beats: dict[str, float] = {}
+        self._exited: set[str] = set()
+        self.needs_beat: Callable[[], bool] = lambda: True
+
+    def beat(self, loop: str) -> None:
+        self._beats[loop] = trio.current_time()
+
+    def exited(self, loop: str) -> None:
+        self._exited.add(loop)
+
+    def out(self) -> list[str]:
+        """Loops that are stalled past limit and release time, or gone; the leader yields if any is."""
+        now = trio.current_time()
+        limit = self._stall_s + self._release_s
+        stalled = [n for n, at in self._beats.items() if now - at > limit]
+        return sorted(self._exited | set(stalled))
+
+
+class Elector:
+    """The loop that keeps, loses and takes the key."""
+
+    def __init__(
+        self, store: Store, view: View, timings: Timings, label: str, watchdog: Watchdog, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._t = timings
+        self._label = label
+        self._watchdog = watchdog
+        self._rng = rng
+        self.term: int | None = None
+        self._lease: int | None = None
+        self._good_ping = float("-inf")
+        self.since = float("-inf")  # when we learnt of our term
+        self.bound_until = float("-inf")  # a promise to a peer: no acquiring and no acting before this
+        self.acquire_after = float("-inf")  # a fresh process waits out what it may have promised before
+        self.acquiring = False  # a try for the key is under way, so no promise can be given
+        self.on_term: Callable[[int | None], None] = lambda term: None
+        self._changed = trio.Event()
+        view.listeners.append(self._seen)
+
+    def valid(self) -> bool:
+        """Whether this controller may act as leader at this very moment."""
+        now = trio.current_time()
+        return (
+            self.term is not None
+            and now - self._good_ping < self._t.validity_s
+            and now >= self.bound_until
+            and not self._watchdog.out()
+        )
+
+    def leader_label(self) -> str | None:
+        """Who leads as far as the view tells."""
+        known = self._view.leader()
+        if known is None or not isinstance(known[0], dict):
+            return None
+        label = known[0].get("label")
+        return label if isinstance(label, str) else None
+
+    def _seen(self, key: str, value: object, rev: int) -> None:
+        if key != LEADER:
+            return
+        if self.term is not None and (value is None and rev > self.term or value is not None and rev > self.term):
+            # The key went or changed hands; act no more, whatever our own clock says.
+            log.info("the leader key of term %d is gone", self.term)
+            self._drop()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _drop(self) -> None:
+        self.term = None
+        self._lease = None
+        self._good_ping = float("-inf")
+        self._store.set_leading(False)
+        self.on_term(None)
+
+    def superseded(self, token: int) -> None:
+        """A worker has seen a higher token: another controller leads, or led, after us."""
+        if self.term is not None and token > self.term:
+            log.info("a worker has seen token %d, ours is %d: yielding", token, self.term)
+            self._drop()
+
+    async def run(self) -> None:
+        while True:
+            if self.term is not None:
+                await self._keep()
+            else:
+                await self._seek()
+
+    async def _keep(self) -> None:
+        """Ping; on return either all is well and it slept till the next ping, or the term is over."""
+        assert self._lease is not None and self.term is not None
+        term, lease = self.term, self._lease
+        out = self._watchdog.out()
+        if out:
+            log.error("yielding: loops stalled or exited: %s", ", ".join(out))
+            await self._yield(lease)
+            return
+        sent_at = trio.current_time()
+        pause = self._t.ping_s
+        try:
+            if await self._store.renew(lease, self._t.ping_s):
+                if self.term == term:
+                    if sent_at - self._good_ping >= self._t.validity_s:
+                        log.info("the lease of term %d held; leading again", term)
+                    self._good_ping = sent_at
+                pause = max(0.0, sent_at + self._t.ping_s - trio.current_time())
+            elif self.term == term:
+                log.info("the lease of term %d has ended", term)
+                self._drop()
+                return
+        except Unavailable as error:
+            log.debug("ping not taken: %s", error)
+            pause = self._t.ping_s / 3
+        except Ambiguous as error:
+            log.info("ping without an answer (%s): yielding", error)
+            await self._yield(lease)
+            return
+        await trio.sleep(pause)
+
+    async def _yield(self, lease: int) -> None:
+        """Stop acting first, give the key back second: so no overlap comes from us."""
+        self._drop()
+        try:
+            await self._store.revoke(lease, self._t.ping_s)
+        except (Unavailable, Ambiguous) as error:
+            log.info("the key could not be given back (%s); it ends with its lease", error)
+        await trio.sleep(self._t.ping_s)
+
+    async def _seek(self) -> None:
+        """Warm follower: wait for the key to go, then try to take it."""
+        changed = self._changed
+        now = trio.current_time()
+        free = self._view.loaded and self._view.leader() is None
+        wait = max(self.bound_until, self.acquire_after) - now
+        if not free or self._watchdog.out() or wait > 0:
+            with trio.move_on_after(max(wait, 0.02) if free and wait > 0 else self._t.ping_s):
+                await changed.wait()
+            return
+        await trio.sleep(self._rng.random() * C.ACQUIRE_JITTER_S)
+        if self._view.leader() is not None:
+            return
+        self.acquiring = True
+        try:
+            await self._acquire()
+        except (Unavailable, Ambiguous) as error:
+            log.debug("acquiring: %s", error)
+            self.acquiring = False
+            await trio.sleep(min(self._t.ping_s, C.RETRY_S * 2))
+        finally:
+            self.acquiring = False
+
+    async def _acquire(self) -> None:
+        timeout = min(10.0, self._t.lease_s / 3)
+        sent_at = trio.current_time()
+        lease = await self._store.grant(self._t.lease_s, timeout)
+        nonce = f"{self._rng.getrandbits(64):016x}"
+        value = {"label": self._label, "nonce": nonce}
+        try:
+            txn = await self._store.multi([Condition(LEADER, 0)], [Put(LEADER, value, lease)], urgent=True)
+            term = txn.rev if txn.ok else None
+        except Ambiguous:
+            # The answer is lost, not necessarily the write: read back and compare the nonce.
+            found = await self._store.get(LEADER)
+            ours = found is not None and isinstance(found[0], dict) and found[0].get("nonce") == nonce
+            term = found[1] if found is not None and ours else None
+        if term is None:
+            await self._store.revoke(lease, timeout)
+            await trio.sleep(self._t.ping_s / 3)
+            return
+        if trio.current_time() - sent_at >= self._t.validity_s:
+            # Slow answers ate the lease's first part: no good ping to act on, so let it go.
+            await self._store.revoke(lease, timeout)
+            return
+        self.term, self._lease = term, lease
+        self._good_ping = sent_at
+        self.since = trio.current_time()
+        self._store.set_leading(True)
+        self._view.apply(LEADER, value, term, True)
+        log.info("leading, term %d, lease %.1f s", term, self._t.lease_s)
+        self.on_term(term)
--- /dev/null
+++ b/sorrelsill/metrics.py
@@ -0,0 +1,24 @@
+"""Metrics in Prometheus form, made when they are asked for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+_GAUGES = ("jobs", "hosts", "unheard", "unplaced", "store_failing_s")
+
+
+def render(state: dict[str, Any]) -> bytes:
+    registry = CollectorRegistry()
+    leading = Gauge("sorrelsill_leader_status", "1 on the leader, 0 on followers", registry=registry)
+    leading.set(1 if state["leading"] else 0)
+    standstill = Gauge("sorrelsill_standstill", "1 while promises let leases go on", registry=registry)
+    standstill.set(1 if state["standstill"] else 0)
+    for name in _GAUGES:
+        if state[name] is not None:
+            Gauge(f"sorrelsill_{name}", f"{name} as this controller believes", registry=registry).set(state[name])
+    events = Counter("sorrelsill_events", "what was answered", ["event"], registry=registry)
+    for name, count in state["counts"].items():
+        events.labels(event=name).inc(count)
+    return generate_latest(registry)
--- /dev/null
+++ b/sorrelsill/node.py
@@ -0,0 +1,312 @@
+"""A controller: the slices put together, the routes, and the loops."""
+
+from __future__ import annotations
+
+import logging
+import random
+import re
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.fleet import Catalog, Cloud, FleetManager, parse_catalog
+from sorrelsill.http import Client, Reply, Request
+from sorrelsill.jobs import Admission, BadJob, Busy, Recorder, parse_record
+from sorrelsill.leadership import Elector, Watchdog
+from sorrelsill.peers import Standstill
+from sorrelsill.placement import Placer
+from sorrelsill.settings import Operator, Settings, Timings
+from sorrelsill.store import CATALOG, LEADER, Condition, Put, Store, Unavailable, View
+from sorrelsill.store import Ambiguous as StoreAmbiguous
+from sorrelsill.workers import BadReport, Ledger, Superseded, parse_report
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder().decode
+_RUN = re.compile(r"/v2/runs/([^/]+)(/cancel|/why)?\Z")
+_TEAM = re.compile(r"/v2/teams/([^/]+)/runs\Z")
+_JOB = "s/j/"
+
+
+class Node:
+    def __init__(
+        self, settings: Settings, operator: Operator, rng: random.Random,
+        make_client: Callable[[str], Client] = Client, time_of_day: Callable[[], float] = time.time,
+    ) -> None:  # fmt: skip
+        facts = settings.facts
+        self.settings = settings
+        self.timings = Timings.derive(facts.workers, operator)
+        self.store = Store(make_client(settings.services.state), facts.state, facts.nodes)
+        self.view = View(self.store)
+        self.watchdog = Watchdog(self.timings.stall_s, self.timings.self_release_s)
+        self.elector = Elector(self.store, self.view, self.timings, settings.label, self.watchdog, rng)
+        self.elector.acquire_after = trio.current_time() + (C.PROMISE_S if settings.members else 0.0)
+        self._time_of_day = time_of_day
+        self.admission = Admission(self.store, self.view, facts.teams, time_of_day)
+        self.cloud = Cloud(make_client(settings.services.cloud), facts.cloud)
+        self.standstill = Standstill(self.store, self.elector, settings.members, make_client)
+        self.placer = Placer(facts.teams, rng, operator.sample or C.SAMPLE)
+        self.tick_s = operator.tick_s or C.TICK_S
+        self.ledger: Ledger | None = None
+        self.fleet: FleetManager | None = None
+        self.recorder: Recorder | None = None
+        self.catalog: Catalog | None = None
+        self._catalog_raw: Any = None
+        self._catalog_saved: Any = None
+        self._labels = {m.label for m in settings.members}
+        self._wake = trio.Event()
+        self.counts: dict[str, int] = {}
+        self.elector.on_term = self._on_term
+        self.standstill.on_bound = self._on_bound
+        self.view.listeners.append(self._on_key)
+
+    # --- leadership changes, and what the view tells ---
+
+    def _on_term(self, term: int | None) -> None:
+        """Rebuild from the records; the machines' part comes with their reports, before anything is placed."""
+        if term is None:
+            self.ledger = self.fleet = self.recorder = None
+            return
+        now = trio.current_time()
+        ledger = Ledger(term, now, self.catalog or Catalog({}), self.timings.loss_s, self.timings.validity_s)
+        ledger.renewed_by_others = min(now, self.elector.bound_until)
+        ledger.expect(self.view.roster())
+        self.ledger = ledger
+        for uid, value, rev in self.view.jobs():
+            self._add_job(ledger, uid, value, rev)
+        self.recorder = Recorder(self.store, self.view, ledger, self.elector.valid)
+        self.recorder.on_superseded = lambda: self.elector.superseded(term + 1)
+        self.fleet = FleetManager(
+            self.cloud, ledger, self.elector.valid, lambda: list(self.placer.unplaced.values()),
+            self.settings.money_counts, self.settings.facts.cloud.list_lag_s,
+        )  # fmt: skip
+        self.fleet.on_catalog = self._on_catalog
+        self.placer.reset()
+        for loop in ("place", "record", "fleet"):
+            self.watchdog.beat(loop)
+
+    def _on_bound(self, until: float) -> None:
+        if self.ledger is not None:
+            self.ledger.renewed_by_others = max(self.ledger.renewed_by_others, until)
+
+    def _on_key(self, key: str, value: Any, rev: int) -> None:
+        if key == CATALOG and value is not None:
+            try:
+                self._set_catalog(value, parse_catalog(value))
+                self._catalog_saved = value
+            except ValueError as error:
+                log.error("stored catalog: %s", error)
+        ledger = self.ledger
+        if ledger is None or not key.startswith(_JOB):
+            return
+        uid = key[len(_JOB) :]
+        job = ledger.jobs.get(uid)
+        if value is None:
+            if job is not None:
+                ledger.end_job(uid)
+                self._wake.set()
+        elif job is not None:
+            job.rev = max(job.rev, rev)
+        else:
+            self._add_job(ledger, uid, value, rev)
+            self._wake.set()
+
+    def _add_job(self, ledger: Ledger, uid: str, value: Any, rev: int) -> None:
+        try:
+            spec, done, why = parse_record(value, self.view.chunks(uid))
+        except (BadJob, ValueError, TypeError) as error:
+            # Guards against one damaged record stopping all the others.
+            log.error("record of %s: %s", uid, error)
+            return
+        now = trio.current_time()
+        accepted = float(value.get("t") or 0.0)
+        age = max(0.0, self._time_of_day() - accepted)
+        ledger.add_job(spec, done, rev, rev <= ledger.term, now - age, why, accepted)
+
+    def _on_catalog(self, raw: dict[str, Any], catalog: Catalog) -> None:
+        self._catalog_raw = raw
+        self._set_catalog(raw, catalog)
+
+    def _set_catalog(self, raw: Any, catalog: Catalog) -> None:
+        self.catalog = catalog
+        self.admission.catalog = catalog
+        if self.ledger is not None:
+            self.ledger.set_catalog(catalog)
+
+    # --- routes ---
+
+    async def handle(self, request: Request) -> Reply:
+        path, method = request.path, request.method
+        if path == "/hello":
+            return self._hello(request) if method == "POST" else Reply(405)
+        if path == "/v2/runs":
+            return await self._users(lambda: self._submit(request)) if method == "POST" else Reply(405)
+        match = _RUN.match(path)
+        if match:
+            uid, action = match[1], match[2]
+            if action == "/cancel":
+                return await self._users(lambda: self.admission.cancel(uid)) if method == "POST" else Reply(405)
+            if method != "GET":
+                return Reply(405)
+            if action == "/why":
+                return await self._users(lambda: self.admission.why(uid))
+            return await self._users(lambda: self.admission.poll(uid))
+        match = _TEAM.match(path)
+        if match:
+            if method != "GET":
+                return Reply(405)
+            after = parse_qs(request.query).get("after", [""])[0]
+            return await self._users(lambda: self.admission.team(match[1], after))
+        if path in ("/ready", "/state", "/metrics"):
+            if method != "GET":
+                return Reply(405)
+            if path == "/ready":
+                return Reply(200 if self.ready() else 503)
+            if path == "/state":
+                return Reply(200, _encode(self.state()))
+            return self._metrics()
+        return Reply(404)
+
+    async def _submit(self, request: Request) -> tuple[int, dict[str, Any]]:
+        try:
+            body = _decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError):
+            return 400, {"error": "body: not MessagePack"}
+        return await self.admission.submit(body)
+
+    async def _users(self, call: Callable[[], Awaitable[tuple[int, dict[str, Any]]]]) -> Reply:
+        try:
+            status, answer = await call()
+        except Busy as busy:
+            # Never held back: the user is told at once when to come back.
+            self._count("busy")
+            return Reply(503, _encode({"error": str(busy)}), [("Retry-After", str(C.RETRY_AFTER_S))])
+        self._count(f"answer_{status}")
+        return Reply(status, _encode(answer))
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _hello(self, request: Request) -> Reply:
+        try:
+            report = parse_report(request.body)
+        except BadReport as error:
+            return Reply(400, _encode({"error": str(error)}))
+        self._count("reports")
+        ledger = self.ledger
+        if ledger is not None and (self.elector.valid() or self.standstill.active()):
+            acting = self.elector.valid()
+            now = trio.current_time()
+            try:
+                fresh = now - self.view.fresh_at < C.VIEW_STALE_S
+                orders = ledger.on_report(report, now, acting, fresh)
+            except Superseded as error:
+                self.elector.superseded(error.token)
+                return Reply(421, _encode({}))
+            if orders is None:
+                return Reply(503)
+            if ledger.wake_placing:
+                self._wake.set()
+            token = ledger.term if acting else report.epoch
+            return Reply(200, _encode({"epoch": token, "orders": orders}))
+        if self.standstill.active():
+            # Nobody leads and nobody can: the worker's own token, no orders, only its lease goes on.
+            return Reply(200, _encode({"epoch": report.epoch, "orders": []}))
+        label = self.elector.leader_label()
+        if label in self._labels:
+            return Reply(421, _encode({"upstream": label}))
+        return Reply(421, _encode({}))
+
+    def ready(self) -> bool:
+        """Able to serve. If all lack the store, staying ready and answering 503 beats a refused connection."""
+        if not self.view.loaded:
+            return False
+        return self.store.failing_for() < C.READY_STORE_S or self.standstill.others_fail_too()
+
+    def state(self) -> dict[str, Any]:
+        """For operators: what this controller believes."""
+        ledger = self.ledger
+        return {
+            "label": self.settings.label,
+            "leader": self.settings.label if self.elector.valid() else self.elector.leader_label(),
+            "leading": self.elector.valid(),
+            "term": self.elector.term,
+            "standstill": self.standstill.active(),
+            "store_failing_s": round(self.store.failing_for(), 2),
+            "jobs": len(ledger.jobs) if ledger else None,
+            "hosts": len(ledger.hosts) if ledger else None,
+            "unheard": len(ledger.unheard) if ledger else None,
+            "unplaced": sum(u.count for u in self.placer.unplaced.values()) if ledger else None,
+            "counts": self.counts,
+        }
+
+    def _metrics(self) -> Reply:
+        from sorrelsill.metrics import render  # noqa: PLC0415 - the library is heavy, start-up is charged
+
+        return Reply(200, render(self.state()), kind="text/plain; version=0.0.4")
+
+    async def handle_peer(self, request: Request) -> Reply:
+        if request.path != "/promise":
+            return Reply(404)
+        if request.method != "POST":
+            return Reply(405)
+        return Reply(200, self.standstill.answer(request.body), kind="application/json")
+
+    # --- loops ---
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.view.run)
+            nursery.start_soon(self.view.run_barriers)
+            nursery.start_soon(self.admission.run)
+            nursery.start_soon(self.elector.run)
+            nursery.start_soon(self.standstill.run)
+            nursery.start_soon(self._loop, "place", self._place, self.tick_s)
+            nursery.start_soon(self._loop, "record", self._record, C.WRITER_TICK_S)
+            nursery.start_soon(self._loop, "fleet", self._fleet, C.FLEET_TICK_S)
+
+    async def _loop(self, name: str, step: Callable[[], Awaitable[None]], tick: float) -> None:
+        """A leader's loop: an error is logged and the next round goes on; beats feed the watchdog."""
+        while True:
+            self.watchdog.beat(name)
+            try:
+                await step()
+            except Exception:
+                log.exception("%s: round failed", name)
+            await trio.sleep(tick)
+
+    async def _place(self) -> None:
+        with trio.move_on_after(1.0):
+            await self._wake.wait()
+        self._wake = trio.Event()
+        ledger = self.ledger
+        if ledger is None or not self.elector.valid():
+            return
+        now = trio.current_time()
+        for host in ledger.sweep(now):
+            log.info("%s is silent past its lease: its work is lost", host.name)
+        ledger.wake_placing = False
+        if not self.placer.round(ledger, now, trio.current_time, C.ROUND_BUDGET_S):
+            self._wake.set()
+
+    async def _record(self) -> None:
+        while self.recorder is not None and await self.recorder.step():
+            pass
+        if self._catalog_raw is not None and self._catalog_raw != self._catalog_saved and self.elector.valid():
+            raw = self._catalog_raw
+            try:
+                txn = await self.store.multi([Condition(LEADER, self.elector.term or 0)], [Put(CATALOG, raw)])
+                if txn.ok:
+                    self._catalog_saved = raw
+            except (Unavailable, StoreAmbiguous) as error:
+                log.debug("catalog not saved: %s", error)
+
+    async def _fleet(self) -> None:
+        if self.fleet is not None and self.elector.valid():
+            await self.fleet.step()
--- /dev/null
+++ b/sorrelsill/peers/standstill.py
@@ -0,0 +1,99 @@
+"""Standstill: our extension for when no controller can reach the state service.
+
+Then nobody can ping, so nobody may lead, and without answers the workers' leases would run out and all
+tasks be killed. So controllers promise each other for a few seconds to neither acquire the key nor act
+as leader. A controller promises only if it cannot reach the store itself. Whoever holds such promises
+from *all* members may answer reports with the token the worker already has and with no orders: this
+renews leases and does nothing else. Nothing is started or declared lost meanwhile, and whoever leads
+next counts every silent worker's lease from the end of the promises it knows of.
+
+A fresh process may have promised before it died, so it waits one promise out before it acquires."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import orjson
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.leadership import Elector
+from sorrelsill.settings import Member
+from sorrelsill.store import Store
+
+log = logging.getLogger(__name__)
+
+
+class Standstill:
+    def __init__(self, store: Store, elector: Elector, members: list[Member], client: Callable[[str], Client]) -> None:
+        self._store = store
+        self._elector = elector
+        self._clients = [client(m.addr) for m in members]
+        self._held: dict[int, float] = {}  # peer -> until when its promise holds for us
+        self._failing_peers: dict[int, float] = {}  # peer -> when it last said that it lacks the store too
+        self.on_bound: Callable[[float], None] = lambda until: None
+
+    def active(self) -> bool:
+        """Whether leases may be renewed right now: every member, ourselves included, is bound."""
+        now = trio.current_time()
+        if not self._clients:
+            return self._elector.bound_until > now + C.PROMISE_MARGIN_S
+        return self._elector.bound_until > now and all(
+            self._held.get(i, float("-inf")) > now for i in range(len(self._clients))
+        )
+
+    def others_fail_too(self) -> bool:
+        """Whether a peer that we can reach lacks the store as well: then it is not us alone."""
+        now = trio.current_time()
+        return any(now - at < 3 * C.PROMISE_EVERY_S for at in self._failing_peers.values())
+
+    def _failing(self) -> bool:
+        return self._store.failing_for() >= C.PROMISE_AFTER_S
+
+    def _bind(self) -> float:
+        until = trio.current_time() + C.PROMISE_S
+        self._elector.bound_until = max(self._elector.bound_until, until)
+        self.on_bound(self._elector.bound_until)
+        return until
+
+    def answer(self, body: bytes) -> bytes:
+        """A peer asks for a promise."""
+        try:
+            asked = orjson.loads(body)
+        except orjson.JSONDecodeError:
+            asked = None
+        if not isinstance(asked, dict) or not asked.get("promise"):
+            return orjson.dumps({"promised": False, "failing": self._failing()})
+        if not self._failing() or self._elector.acquiring:
+            return orjson.dumps({"promised": False, "failing": self._failing()})
+        self._bind()
+        return orjson.dumps({"promised": True, "failing": True})
+
+    async def run(self) -> None:
+        while True:
+            if self._failing() and not self._elector.acquiring:
+                self._bind()
+                async with trio.open_nursery() as nursery:
+                    for number, client in enumerate(self._clients):
+                        nursery.start_soon(self._ask, number, client)
+                await trio.sleep(C.PROMISE_EVERY_S)
+            else:
+                await trio.sleep(C.PROMISE_EVERY_S / 4)
+
+    async def _ask(self, number: int, client: Client) -> None:
+        sent_at = trio.current_time()
+        try:
+            status, raw = await client.request("POST", "/promise", orjson.dumps({"promise": True}), C.PEER_TIMEOUT_S)
+            answer = orjson.loads(raw) if status == 200 else {}
+        except (NotSent, NoAnswer, orjson.JSONDecodeError) as error:
+            log.debug("promise of %s: %s", client.addr, error)
+            return
+        if not isinstance(answer, dict):
+            return
+        if answer.get("failing"):
+            self._failing_peers[number] = trio.current_time()
+        if answer.get("promised"):
+            # Counted from the send, and shorter than the promise: it ends here before it ends there.
+            self._held[number] = sent_at + C.PROMISE_S - C.PROMISE_MARGIN_S
--- /dev/null
+++ b/sorrelsill/placement/engine.py
@@ -0,0 +1,251 @@
+"""Rounds of placing: best fit among a few sampled machines, under a time budget.
+
+Order of jobs: production first, then what lies within its team's guarantee, then by rank; inside these by
+deadline, then by age. A round that runs out of time is continued by the next one where it stopped."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sorrelsill import constants as C
+from sorrelsill.jobs import GANG, Spec
+from sorrelsill.settings import Team
+from sorrelsill.workers import Attempt, Host, Job, Ledger
+
+_PROD = 0
+
+
+@dataclass(slots=True)
+class Unplaced:
+    """A job with tasks that found no room; `limited` means that its team's limit stands in the way."""
+
+    job: Job
+    count: int
+    limited: bool = False
+
+
+class Placer:
+    def __init__(self, teams: list[Team], rng: random.Random, sample: int) -> None:
+        self._teams = {t.name: t for t in teams}
+        self._rng = rng
+        self._sample = sample
+        self._left: list[str] = []  # jobs that the last round did not get to
+        self._claims: dict[tuple[str, int], float] = {}  # task -> until when room made for it is awaited
+        self.unplaced: dict[str, Unplaced] = {}
+        self.guaranteed: set[str] = set()
+
+    def reset(self) -> None:
+        """A new term begins."""
+        self._left.clear()
+        self._claims.clear()
+        self.unplaced.clear()
+
+    # --- order and shares ---
+
+    def _find_guaranteed(self, ledger: Ledger) -> set[str]:
+        """Jobs that fit into their team's guarantee together with the team's earlier unfinished ones."""
+        used: dict[str, tuple[float, float]] = {}
+        inside = set()
+        for job in sorted(ledger.jobs.values(), key=lambda j: j.submitted):
+            team = self._teams.get(job.spec.team)
+            if team is None:
+                continue
+            cpus, gpus = used.get(team.name, (0.0, 0.0))
+            cpus += job.spec.cpus * job.spec.shards
+            gpus += job.spec.gpus * job.spec.shards
+            used[team.name] = cpus, gpus
+            if cpus <= team.cpus + 1e-6 and gpus <= team.gpus + 1e-6:
+                inside.add(job.spec.uid)
+        return inside
+
+    def _order(self, ledger: Ledger) -> list[str]:
+        def key(job: Job) -> tuple[int, int, int, float, float]:
+            due = job.submitted + job.spec.due_s if job.spec.due_s is not None else float("inf")
+            guaranteed = 0 if job.spec.uid in self.guaranteed else 1
+            return (min(job.spec.rank, 1), guaranteed, job.spec.rank, due, job.submitted)
+
+        return [j.spec.uid for j in sorted(ledger.jobs.values(), key=key) if j.waiting > 0]
+
+    def _under_limit(self, ledger: Ledger, spec: Spec, count: int = 1) -> bool:
+        team = self._teams.get(spec.team)
+        if team is None:
+            return False
+        cpus = ledger.team_cpus.get(spec.team, 0.0) + ledger.unheard_cpus() + spec.cpus * count
+        gpus = ledger.team_gpus.get(spec.team, 0.0) + ledger.unheard_gpus() + spec.gpus * count
+        return (not team.cpus_max or cpus <= team.cpus_max + 1e-6) and (
+            not team.gpus_max or gpus <= team.gpus_max + 1e-6
+        )
+
+    # --- a round ---
+
+    def round(self, ledger: Ledger, now: float, clock: Callable[[], float], budget: float) -> bool:
+        """Place what fits. False if the budget ran out before all jobs were seen."""
+        begun = clock()
+        if not self._left:
+            self.guaranteed = self._find_guaranteed(ledger)
+            self._left = self._order(ledger)
+            self.unplaced = {u: d for u, d in self.unplaced.items() if u in ledger.jobs}
+            self._claims = {k: t for k, t in self._claims.items() if t > now}
+        hosts = [h for h in ledger.hosts.values() if h.usable()]
+        full: set[tuple[object, ...]] = set()
+        while self._left:
+            job = ledger.jobs.get(self._left[0])
+            if job is not None and job.waiting > 0:
+                if not self._place_job(ledger, job, hosts, full, now, lambda: clock() - begun > budget):
+                    return False
+            elif job is not None:
+                self.unplaced.pop(job.spec.uid, None)
+            self._left.pop(0)
+        return True
+
+    def _place_job(
+        self, ledger: Ledger, job: Job, hosts: list[Host], full: set[tuple[object, ...]], now: float,
+        late: Callable[[], bool],
+    ) -> bool:  # fmt: skip
+        spec = job.spec
+        self.unplaced.pop(spec.uid, None)
+        if not ledger.settled(job) or job.not_before > now:
+            return True
+        if spec.shape == GANG:
+            self._place_gang(ledger, job, hosts, now)
+            return True
+        limited = False
+        sign = (spec.flavours, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot)
+        plain = not (spec.scatter or spec.one_zone or job.avoid)
+        while (index := job.next_shard()) is not None:
+            if late():
+                return False
+            if not self._under_limit(ledger, spec):
+                limited = True
+                job.note(f"waiting: the limit of {spec.team} is reached")
+                break
+            host = None
+            if not (plain and sign in full):
+                host = self.choose(job, hosts, now)
+            if host is None:
+                if plain:
+                    full.add(sign)
+                break
+            ledger.bind(job, index, host, now)
+        if job.waiting > 0:
+            self.unplaced[spec.uid] = Unplaced(job, job.waiting, limited)
+            if not limited:
+                job.note("waiting: no room on the machines it may use")
+                self._make_room(ledger, job, hosts, now)
+        return True
+
+    def _place_gang(self, ledger: Ledger, job: Job, hosts: list[Host], now: float) -> None:
+        """All tasks at once or none: nothing is sent before all of them are bound."""
+        spec = job.spec
+        made: list[Attempt] = []
+        limited = not self._under_limit(ledger, spec, job.waiting)
+        while not limited and (index := job.next_shard()) is not None:
+            host = self.choose(job, hosts, now)
+            if host is None:
+                for attempt in made:
+                    ledger.take_back(attempt, now)
+                break
+            made.append(ledger.bind(job, index, host, now))
+        if job.waiting > 0:
+            self.unplaced[spec.uid] = Unplaced(job, job.waiting, limited)
+            job.note("waiting: the whole group does not fit at once")
+
+    def choose(self, job: Job, hosts: list[Host], now: float) -> Host | None:
+        """Best fit among a sample; only if nothing in it fits, all machines are looked at."""
+        allowed = [h for h in hosts if self._may(job, h, now)]
+        if not allowed:
+            return None
+        if len(allowed) > self._sample:
+            allowed = self._rng.sample(allowed, self._sample)
+        return min(allowed, key=lambda h: self._score(job, h))
+
+    def _may(self, job: Job, host: Host, now: float) -> bool:
+        spec = job.spec
+        if not host.room_for(spec) or not host.allows(spec) or not host.usable():
+            return False
+        if spec.one_zone and any(n > 0 and z != host.zone for z, n in job.zones.items()):
+            return False
+        if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
+            return False
+        return job.avoid.get(host.name, 0.0) <= now
+
+    def _score(self, job: Job, host: Host) -> float:
+        """Lower is better: the image is there, the machine is left fuller, the zones stay even."""
+        spec = job.spec
+        score = (host.cap_cpus - host.cpus - spec.cpus) / max(host.cap_cpus, 1e-9)
+        if spec.bundle not in host.images:
+            pulling = any(a.spec is not None and a.spec.bundle == spec.bundle for a in host.attempts.values())
+            score += C.FETCH_WEIGHT * (0.5 if pulling else 1.0)
+        if spec.spot and not host.spot:
+            score += C.ORDINARY_WEIGHT
+        return score + C.ZONE_WEIGHT * job.zones.get(host.zone, 0) / spec.shards
+
+    # --- preemption ---
+
+    def _may_stop(self, ledger: Ledger, job: Job, attempt: Attempt) -> bool:
+        """By higher rank, or to give a team its guarantee out of what another runs beyond its own."""
+        victim = attempt.spec
+        if victim is None or attempt.exited:
+            return False
+        if victim.rank > job.spec.rank:
+            return True
+        return job.spec.uid in self.guaranteed and victim.team != job.spec.team and victim.uid not in self.guaranteed
+
+    def _make_room(self, ledger: Ledger, job: Job, hosts: list[Host], now: float) -> None:
+        """Stop the least work that lets waiting tasks in; their room is awaited before more is stopped."""
+        spec = job.spec
+        if spec.rank != _PROD and spec.uid not in self.guaranteed:
+            return
+        claimed = sum(1 for (uid, _), until in self._claims.items() if uid == spec.uid and until > now)
+        for number in range(min(job.waiting - claimed, C.PREEMPT_PER_ROUND)):
+            best: tuple[float, list[Attempt]] | None = None
+            for host in hosts:
+                if not host.allows(spec) or job.avoid.get(host.name, 0.0) > now:
+                    continue
+                if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
+                    continue
+                if spec.one_zone and any(n > 0 and z != host.zone for z, n in job.zones.items()):
+                    continue
+                found = self._victims(ledger, job, host, now)
+                if found is not None and (best is None or found[0] < best[0]):
+                    best = found
+            if best is None:
+                return
+            for attempt in best[1]:
+                ledger.stop(attempt, f"making room for {spec.uid}")
+            self._claims[(spec.uid, -1 - claimed - number)] = now + C.CLAIM_S
+
+    def _victims(self, ledger: Ledger, job: Job, host: Host, now: float) -> tuple[float, list[Attempt]] | None:
+        spec = job.spec
+        cpus, gpus, memory = host.cap_cpus - host.cpus, host.cap_gpus - host.gpus, host.cap_memory - host.memory
+        going = [a for a in host.attempts.values() if a.stop and a.spec is not None]
+        for attempt in going:
+            assert attempt.spec is not None
+            if attempt.stop_reason != f"making room for {spec.uid}":
+                continue
+            return None  # room is being made here for this job already
+        can = [a for a in host.attempts.values() if not a.stop and self._may_stop(ledger, job, a)]
+        can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), lost_work(a, now)))
+        cost, chosen = 0.0, []
+        for attempt in can:
+            if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory:
+                break
+            victim = attempt.spec
+            assert victim is not None
+            cpus, gpus, memory = cpus + victim.cpus, gpus + victim.gpus, memory + victim.memory
+            cost += lost_work(attempt, now) * victim.cpus
+            chosen.append(attempt)
+        if not chosen or cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory:
+            return None
+        return cost, chosen
+
+
+def lost_work(attempt: Attempt, now: float) -> float:
+    """Seconds of work that stopping the attempt throws away."""
+    if attempt.running_since is None or attempt.spec is None:
+        return 0.0
+    if attempt.spec.snapshot_s > 0:
+        return attempt.spec.snapshot_cost_s
+    return now - attempt.running_since + C.PREEMPT_BASE_S
--- /dev/null
+++ b/sorrelsill/serve.py
@@ -0,0 +1,85 @@
+"""The controller's process: settings, logging, sockets. Kept light, since start-up time is charged."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import random
+import sys
+
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.http import Server
+from sorrelsill.node import Node
+from sorrelsill.settings import Operator, Settings, SettingsError, load, load_operator, split_addr
+
+log = logging.getLogger("sorrelsill")
+
+_LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+class ListenError(Exception):
+    """An address can't be listened on."""
+
+
+async def _listen(addr: str) -> trio.SocketListener:
+    """A listening socket on a numeric address, without any look-up."""
+    sock = trio.socket.socket()
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    await sock.bind(split_addr(addr))
+    sock.listen(C.BACKLOG)
+    return trio.SocketListener(sock)
+
+
+async def run(settings: Settings, operator: Operator) -> None:
+    node = Node(settings, operator, random.Random())
+    sockets = settings.facts.quota.sockets
+    peers = C.PEER_SOCKETS if settings.members else 0
+    users = Server(node.handle, max(8, sockets - C.SOCKET_RESERVE - peers), "users")
+    try:
+        listeners = [(users, await _listen(settings.listen))]
+        if settings.members:
+            listeners.append((Server(node.handle_peer, peers, "peers"), await _listen(settings.peer_listen)))
+    except OSError as error:
+        raise ListenError(f"listen: {error}") from None
+    log.info("%s serves on %s, lease %.1f s", settings.label, settings.listen, node.timings.lease_s)
+    async with trio.open_nursery() as nursery:
+        for server, listener in listeners:
+            nursery.start_soon(trio.serve_listeners, server.serve_stream, [listener])
+        await node.run()
+
+
+def main(argv: list[str]) -> int:
+    """`--config FILE` and, if wanted, `--operator FILE`; all other verbs are the CLI's."""
+    import click  # noqa: PLC0415
+
+    @click.command(add_help_option=True)
+    @click.option("--config", required=True, help="the platform's settings file (TOML)")
+    @click.option("--operator", default=None, help="the operators' own settings (HCL)")
+    def command(config: str, operator: str | None) -> None:
+        sys.exit(serve(config, operator))
+
+    command.main(args=argv, prog_name="run.py")
+    return 0
+
+
+def serve(config: str, operator_file: str | None) -> int:
+    level = _LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
+    logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        settings = load(config)
+        operator = load_operator(operator_file)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    # What was imported lives as long as the process: keep the collector from walking it again and again.
+    gc.collect()
+    gc.freeze()
+    try:
+        trio.run(run, settings, operator)
+    except ListenError as error:
+        print(f"{config}: {error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/sorrelsill/settings.py
@@ -0,0 +1,225 @@
+"""The platform's settings file (TOML) and the operators' own (HCL), checked, and the timings derived
+from them. Unknown fields are ignored; a bad one is refused with a line that names file, field and reason."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from typing import Any
+
+import msgspec
+
+from sorrelsill import constants as C
+
+
+class SettingsError(Exception):
+    """One clear line: which file, which field, why."""
+
+
+class Member(msgspec.Struct, frozen=True):
+    label: str
+    addr: str
+    area: str = ""
+
+
+class Services(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"workload": "class"}):
+    kind: str
+    workload: str | None = None
+    within_s: float | None = None
+    after_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: float
+    lease_s: float
+    cancel_s: float
+    gang_wait_s: float = 60.0
+    gang_peer_s: float = 5.0
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    rps: float
+    list_lag_s: float = 0.0
+
+
+class Quota(msgspec.Struct, frozen=True):
+    cpu: float = 1.0
+    ram_mb: float = 512.0
+    sockets: int = 1024
+
+
+class Facts(msgspec.Struct, frozen=True):
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    nodes: int = 1
+    zones: list[str] = []
+    time_bound_ms: float = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    quota: Quota = Quota()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    label: str
+    listen: str
+    services: Services
+    facts: Facts
+    area: str = ""
+    peer_listen: str = ""
+    members: list[Member] = []
+
+    @property
+    def money_counts(self) -> bool:
+        """Whether an aim speaks of money: without one, idle machines are worth keeping."""
+        return any(o.kind in ("price", "useful") for o in self.facts.objectives)
+
+
+class Timings(msgspec.Struct, frozen=True):
+    """What the leadership and loss rules use, derived so that the values cannot contradict each other."""
+
+    lease_s: float
+    ping_s: float
+    validity_s: float
+    loss_s: float
+    stall_s: float
+    self_release_s: float
+
+    @classmethod
+    def derive(cls, workers: Workers, operator: Operator) -> Timings:
+        lease = operator.lease_s or min(C.LEASE_MAX_S, max(C.LEASE_MIN_S, workers.lease_s * C.LEASE_OF_WORKER_LEASE))
+        return cls(
+            lease_s=lease,
+            ping_s=min(C.PING_MAX_S, lease * C.PING_OF_LEASE),
+            validity_s=lease * C.VALIDITY_OF_LEASE,
+            loss_s=workers.lease_s * (1 + 2 * C.CLOCK_DRIFT) + C.LOSS_MARGIN_S,
+            stall_s=operator.stall_limit_s or C.STALL_LIMIT_S,
+            self_release_s=operator.self_release_s or C.SELF_RELEASE_S,
+        )
+
+
+class Operator(msgspec.Struct, frozen=True):
+    """Operators' own settings; 0 stands for the derived or built-in value."""
+
+    lease_s: float = 0.0
+    stall_limit_s: float = 0.0
+    self_release_s: float = 0.0
+    sample: int = 0
+    tick_s: float = 0.0
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    """`10.0.0.1:8080` to its parts; names are not looked up, as the machines have no resolver."""
+    host, _, port = addr.rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
+        raise ValueError(f"{addr!r} is not an IPv4 address with a port")
+    if not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{addr!r} has no valid port")
+    return host, int(port)
+
+
+def _positive(path: str, field: str, value: float, zero: bool = False) -> None:
+    if not math.isfinite(value) or value < 0 or (value == 0 and not zero):
+        raise SettingsError(f"{path}: {field}: must be a positive number, is {value}")
+
+
+def check(settings: Settings, path: str) -> Settings:
+    """What types alone do not tell: addresses, ranges, names that must differ."""
+    addresses = [("listen", settings.listen), ("services.cloud", settings.services.cloud)]
+    addresses.append(("services.state", settings.services.state))
+    if settings.peer_listen or settings.members:
+        addresses.append(("peer_listen", settings.peer_listen))
+    addresses += [(f"members[{m.label}].addr", m.addr) for m in settings.members]
+    for field, addr in addresses:
+        try:
+            split_addr(addr)
+        except ValueError as error:
+            raise SettingsError(f"{path}: {field}: {error}") from None
+    facts = settings.facts
+    for field, value in (
+        ("facts.workers.report_s", facts.workers.report_s),
+        ("facts.workers.lease_s", facts.workers.lease_s),
+        ("facts.workers.cancel_s", facts.workers.cancel_s),
+        ("facts.state.rps", facts.state.rps),
+        ("facts.state.write_rps", facts.state.write_rps),
+        ("facts.state.value_kb", facts.state.value_kb),
+        ("facts.state.txn_ops", facts.state.txn_ops),
+        ("facts.cloud.rps", facts.cloud.rps),
+        ("facts.quota.cpu", facts.quota.cpu),
+        ("facts.quota.sockets", facts.quota.sockets),
+    ):
+        _positive(path, field, value)
+    for team in facts.teams:
+        for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            _positive(path, f"facts.teams[{team.name}].{name}", getattr(team, name), zero=True)
+    labels = [settings.label, *(m.label for m in settings.members)]
+    if len(set(labels)) != len(labels):
+        raise SettingsError(f"{path}: members: two controllers have the same label")
+    if len({t.name for t in facts.teams}) != len(facts.teams):
+        raise SettingsError(f"{path}: facts.teams: two teams have the same name")
+    return settings
+
+
+def _convert(raw: Any, kind: type[Any], path: str) -> Any:
+    try:
+        return msgspec.convert(raw, kind, strict=True)
+    except msgspec.ValidationError as error:
+        text = str(error)
+        reason, _, where = text.partition(" - at ")
+        field = where.strip("`").removeprefix("$.") or "top level"
+        raise SettingsError(f"{path}: {field}: {reason}") from None
+
+
+def load(path: str) -> Settings:
+    """Read and check the platform's file."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: file: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: syntax: {error}") from None
+    return check(_convert(raw, Settings, path), path)
+
+
+def load_operator(path: str | None) -> Operator:
+    """Read the operators' HCL file; the parser is imported only then, since start-up time is charged."""
+    if not path:
+        return Operator()
+    import hcl2  # noqa: PLC0415
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = hcl2.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: file: {error.strerror}") from None
+    except Exception as error:  # the parser's own errors share no base class
+        first = str(error).strip().splitlines()
+        raise SettingsError(f"{path}: syntax: {first[0] if first else type(error).__name__}") from None
+    operator: Operator = _convert({k: v for k, v in raw.items() if not k.startswith("__")}, Operator, path)
+    for field in ("lease_s", "stall_limit_s", "self_release_s", "sample", "tick_s"):
+        _positive(path, field, getattr(operator, field), zero=True)
+    return operator
--- /dev/null
+++ b/sorrelsill/store/budget.py
@@ -0,0 +1,42 @@
+"""A token bucket on the steady clock, for the rates of the store and of the cloud."""
+
+from __future__ import annotations
+
+import trio
+
+
+class Bucket:
+    """`rate` tokens a second, at most `burst` saved up. Taking may run into debt: pings never wait, but
+    what they take is missing to the others, so that all together stay under the rate."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self._level = burst
+        self._at: float | None = None
+
+    def _refill(self, now: float) -> None:
+        if self._at is not None:
+            self._level = min(self.burst, self._level + (now - self._at) * self.rate)
+        self._at = now
+
+    def take(self, amount: float = 1.0) -> None:
+        """Take without waiting."""
+        self._refill(trio.current_time())
+        self._level -= amount
+
+    def ready(self, amount: float = 1.0) -> bool:
+        self._refill(trio.current_time())
+        return self._level >= min(amount, self.burst)
+
+    def drain(self) -> None:
+        """The other side says we are over the rate (429): others share it, so start from nothing."""
+        self._refill(trio.current_time())
+        self._level = min(self._level, 0.0)
+
+    async def wait(self, amount: float = 1.0) -> None:
+        """Take, waiting until there is enough."""
+        amount = min(amount, self.burst)
+        while not self.ready(amount):
+            await trio.sleep(max(0.002, (amount - self._level) / self.rate))
+        self._level -= amount
--- /dev/null
+++ b/sorrelsill/store/client.py
@@ -0,0 +1,224 @@
+"""The state service's client. Every answer is one of: a result, Unavailable (certainly not carried out)
+or Ambiguous (may have been carried out, or may yet be). Callers must treat these differently."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.settings import StateLimits
+from sorrelsill.store.budget import Bucket
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder().decode
+
+
+class Unavailable(Exception):
+    """The request was certainly not carried out: refused, throttled or never sent."""
+
+    def __init__(self, text: str, throttled: bool = False) -> None:
+        super().__init__(text)
+        self.throttled = throttled
+
+
+class Ambiguous(Exception):
+    """No proper answer: the request may have been carried out, or may yet be, minutes later."""
+
+
+@dataclass(slots=True, frozen=True)
+class Condition:
+    key: str
+    rev: int
+
+    def wire(self) -> dict[str, Any]:
+        return {"k": self.key, "keyRev": self.rev}
+
+
+@dataclass(slots=True, frozen=True)
+class Put:
+    key: str
+    value: Any
+    lease: int | None = None
+
+    def wire(self) -> dict[str, Any]:
+        out: dict[str, Any] = {"set": self.key, "value": self.value}
+        if self.lease is not None:
+            out["tenancy"] = self.lease
+        return out
+
+
+@dataclass(slots=True, frozen=True)
+class Remove:
+    key: str
+
+    def wire(self) -> dict[str, Any]:
+        return {"remove": self.key}
+
+
+@dataclass(slots=True)
+class Txn:
+    """The outcome of a transaction: its revision, or the keys whose conditions failed."""
+
+    ok: bool
+    rev: int
+    failed: list[str] = field(default_factory=list)
+
+
+class Store:
+    """Requests under a budget. Pings (`urgent`) never wait for it; what they use is taken from the rest."""
+
+    def __init__(self, client: Client, limits: StateLimits, nodes: int) -> None:
+        self._client = client
+        rps = limits.rps * C.STORE_SHARE / max(1, nodes)
+        self.requests = Bucket(rps, max(2.0, rps / 2))
+        self._write_rate = limits.write_rps * C.STORE_SHARE
+        self._nodes = max(1, nodes)
+        self.writes = Bucket(1.0, 1.0)
+        self.set_leading(False)
+        self.last_ok = trio.current_time()  # send time of the last request that was answered properly
+        self.failing_since: float | None = None
+        self.txn_ops = limits.txn_ops
+        self.value_bytes = int(limits.value_kb * 1024)
+
+    def set_leading(self, leading: bool) -> None:
+        """The leader writes most, so it gets the larger part of the store's write rate."""
+        share = C.LEADER_WRITE_SHARE if leading else (1 - C.LEADER_WRITE_SHARE) / max(1, self._nodes - 1)
+        if self._nodes == 1:
+            share = 1.0
+        rate = self._write_rate * share
+        self.writes.rate = rate
+        self.writes.burst = max(4.0, rate / 2)
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, timeout: float = C.STORE_TIMEOUT_S, urgent: bool = False
+    ) -> tuple[int, Any]:
+        if urgent:
+            self.requests.take()
+        else:
+            await self.requests.wait()
+        sent_at = trio.current_time()
+        try:
+            status, raw = await self._client.request(
+                method, target, _encode(body) if body is not None else b"", timeout
+            )
+            answer = _decode(raw) if raw else {}
+        except NotSent as error:
+            self._failed(sent_at)
+            raise Unavailable(str(error)) from None
+        except (NoAnswer, msgspec.DecodeError) as error:
+            self._failed(sent_at)
+            raise Ambiguous(str(error)) from None
+        if status == 429:
+            # Throttled is not down: the store is there, others use the rate too.
+            self.last_ok = max(self.last_ok, sent_at)
+            self.requests.drain()
+            raise Unavailable("throttled", throttled=True)
+        if status == 503:
+            self._failed(sent_at)
+            raise Unavailable("the store answers 503")
+        if status >= 500 or status in (408, 413) or not isinstance(answer, dict):
+            self._failed(sent_at)
+            raise Ambiguous(f"the store answers {status}")
+        self.last_ok = max(self.last_ok, sent_at)
+        self.failing_since = None
+        return status, answer
+
+    def _failed(self, at: float) -> None:
+        if self.failing_since is None:
+            self.failing_since = at
+
+    def failing_for(self) -> float:
+        """Seconds since the store was last there for us; 0 while it answers."""
+        if self.failing_since is None:
+            return 0.0
+        return trio.current_time() - max(self.failing_since, self.last_ok)
+
+    async def get(self, key: str) -> tuple[Any, int] | None:
+        """Value and revision, or None if the key does not exist."""
+        status, answer = await self._call("GET", f"/kv/{key}")
+        if status == 200:
+            return answer.get("value"), _rev(answer, "keyRev")
+        if status == 404:
+            return None
+        raise Ambiguous(f"the store answers {status} to a read")
+
+    async def scan(self, prefix: str) -> tuple[dict[str, tuple[Any, int]], int]:
+        """All keys with a prefix, and the revision of the first page: later changes have to be followed."""
+        found: dict[str, tuple[Any, int]] = {}
+        last = ""
+        first_rev: int | None = None
+        while True:
+            target = f"/kv?starts={prefix}&page={C.KV_PAGE}" + (f"&from={last}" if last else "")
+            status, answer = await self._call("GET", target)
+            if status != 200 or not isinstance(answer.get("pairs"), list):
+                raise Ambiguous(f"the store answers {status} to a list")
+            if first_rev is None:
+                first_rev = _rev(answer, "storeRev")
+            for pair in answer["pairs"]:
+                last = pair["k"]
+                found[last] = (pair.get("value"), _rev(pair, "keyRev"))
+            if not answer.get("hasNext") or not answer["pairs"]:
+                return found, first_rev
+
+    async def multi(self, conditions: list[Condition], writes: list[Put | Remove], urgent: bool = False) -> Txn:
+        """One atomic transaction."""
+        if urgent:
+            self.writes.take(len(writes))
+        elif writes:
+            await self.writes.wait(len(writes))
+        body = {"if": [c.wire() for c in conditions], "writes": [w.wire() for w in writes]}
+        try:
+            status, answer = await self._call("POST", "/multi", body, urgent=urgent)
+        except Unavailable as error:
+            if error.throttled:
+                self.writes.drain()
+            raise
+        if status == 200:
+            return Txn(True, _rev(answer, "storeRev"))
+        if status == 409:
+            return Txn(False, _rev(answer, "storeRev"), [str(k) for k in answer.get("failed") or []])
+        # 400: malformed or, for a put with a lease, that lease has ended. Either way nothing was done.
+        raise Unavailable(f"the store answers {status}: {answer.get('error')}")
+
+    async def grant(self, ttl_s: float, timeout: float) -> int:
+        status, answer = await self._call("POST", "/grants", {"ttlMs": int(ttl_s * 1000)}, timeout=timeout, urgent=True)
+        if status != 200:
+            raise Unavailable(f"the store answers {status} to a grant")
+        return _rev(answer, "tenancy")
+
+    async def renew(self, lease: int, timeout: float) -> bool:
+        """True if the lease goes on, False if it has ended."""
+        status, _ = await self._call("POST", f"/grants/{lease}/renew", {}, timeout=timeout, urgent=True)
+        if status in (200, 404):
+            return status == 200
+        raise Ambiguous(f"the store answers {status} to a renewal")
+
+    async def revoke(self, lease: int, timeout: float) -> None:
+        await self._call("DELETE", f"/grants/{lease}", timeout=timeout, urgent=True)
+
+    async def follow(
+        self, prefix: str, since: int, hold_s: float, timeout: float
+    ) -> tuple[int, list[dict[str, Any]]] | None:
+        """Changes after a revision, or None if that revision is too old to follow from."""
+        hold = f"&holdMs={int(hold_s * 1000)}"
+        status, answer = await self._call("GET", f"/follow?starts={prefix}&from={since}{hold}", timeout=timeout)
+        if status == 410:
+            return None
+        if status != 200 or not isinstance(answer.get("news"), list):
+            raise Ambiguous(f"the store answers {status} to a watch")
+        return _rev(answer, "storeRev"), answer["news"]
+
+
+def _rev(answer: dict[str, Any], name: str) -> int:
+    value = answer.get(name)
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise Ambiguous(f"the store's answer lacks {name}")
+    return value
--- /dev/null
+++ b/sorrelsill/store/view.py
@@ -0,0 +1,198 @@
+"""A followed copy of our keys, kept warm on every controller, with a read barrier that proves it fresh.
+
+All keys begin with `s/`, so that one watch sees everything:
+  s/leader       who leads, attached to the leader's lease
+  s/j/<uid>      a live job: description, finished tasks, counts
+  s/d/<uid>/<n>  finished tasks of a very large job, one key per part
+  s/f/<uid>      a job that is over, kept for ever
+  s/m/<host>     a machine that may have been given work
+  s/catalog      the machine types as last read
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.store.client import Ambiguous, Store, Unavailable
+
+log = logging.getLogger(__name__)
+
+LEADER = "s/leader"
+CATALOG = "s/catalog"
+_JOB, _CHUNK, _FINAL, _ROSTER = "s/j/", "s/d/", "s/f/", "s/m/"
+
+Listener = Callable[[str, Any, int], None]
+
+
+def job_key(uid: str) -> str:
+    return _JOB + uid
+
+
+def final_key(uid: str) -> str:
+    return _FINAL + uid
+
+
+def chunk_key(uid: str, number: int) -> str:
+    return f"{_CHUNK}{uid}/{number}"
+
+
+def roster_key(host: str) -> str:
+    return _ROSTER + host
+
+
+class View:
+    """Live keys in memory; final records only in a bounded cache, since they are kept for ever."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self.keys: dict[str, tuple[Any, int]] = {}
+        self.finals: OrderedDict[str, Any] = OrderedDict()
+        self.rev = 0
+        self.loaded = False
+        self.fresh_at = float("-inf")  # the view holds everything committed before this moment
+        self.listeners: list[Listener] = []
+        self._barrier_gap = 1.0 / max(1.0, C.BARRIER_RATE_OF_RPS * store.requests.rate * 3)
+        self._last_barrier = float("-inf")
+        self._waiting: list[trio.Event] = []
+        self._asked = trio.Event()
+
+    # --- what the keys hold ---
+
+    def job(self, uid: str) -> tuple[Any, int] | None:
+        return self.keys.get(_JOB + uid)
+
+    def jobs(self) -> list[tuple[str, Any, int]]:
+        return [(k[len(_JOB) :], v, r) for k, (v, r) in self.keys.items() if k.startswith(_JOB)]
+
+    def chunks(self, uid: str) -> list[tuple[int, Any]]:
+        head = f"{_CHUNK}{uid}/"
+        return [(int(k[len(head) :]), v) for k, (v, _) in self.keys.items() if k.startswith(head)]
+
+    def roster(self) -> list[tuple[str, Any]]:
+        return [(k[len(_ROSTER) :], v) for k, (v, _) in self.keys.items() if k.startswith(_ROSTER)]
+
+    def leader(self) -> tuple[Any, int] | None:
+        return self.keys.get(LEADER)
+
+    def final(self, uid: str) -> Any | None:
+        return self.finals.get(uid)
+
+    def remember_final(self, uid: str, value: Any) -> None:
+        self.finals[uid] = value
+        while len(self.finals) > C.FINAL_CACHE:
+            self.finals.popitem(last=False)
+
+    # --- keeping it ---
+
+    def apply(self, key: str, value: Any, rev: int, present: bool) -> None:
+        """One change. Answers may come out of order, so an older one than what is known has no effect."""
+        if key.startswith(_FINAL):
+            if present:
+                self.remember_final(key[len(_FINAL) :], value)
+            return
+        known = self.keys.get(key)
+        if known is not None and known[1] >= rev:
+            return
+        if present:
+            self.keys[key] = (value, rev)
+        elif known is not None:
+            del self.keys[key]
+        for listener in self.listeners:
+            listener(key, value if present else None, rev)
+
+    async def _load(self) -> None:
+        """Read everything live; the final records stay where they are."""
+        fresh: dict[str, tuple[Any, int]] = {}
+        sent_at = trio.current_time()
+        since: int | None = None
+        for prefix in (_JOB, _CHUNK, _ROSTER, LEADER, CATALOG):
+            found, rev = await self._store.scan(prefix)
+            since = rev if since is None else min(since, rev)
+            fresh.update(found)
+        assert since is not None
+        for key, (value, rev) in fresh.items():
+            self.apply(key, value, rev, True)
+        for key in [k for k, (_, r) in self.keys.items() if k not in fresh and r <= since]:
+            self._drop(key, since)
+        self.rev = since
+        self.fresh_at = max(self.fresh_at, sent_at)
+        self.loaded = True
+
+    def _drop(self, key: str, rev: int) -> None:
+        del self.keys[key]
+        for listener in self.listeners:
+            listener(key, None, rev)
+
+    def _take(self, since: int, answer: tuple[int, list[dict[str, Any]]], sent_at: float) -> None:
+        rev, news = answer
+        for change in news:
+            if "set" in change:
+                self.apply(change["set"], change.get("value"), change["keyRev"], True)
+            elif "remove" in change:
+                self.apply(change["remove"], None, change["keyRev"], False)
+        self.rev = max(self.rev, rev)
+        self.fresh_at = max(self.fresh_at, sent_at)
+
+    async def run(self) -> None:
+        """Follow for ever; whatever fails is tried again after a pause."""
+        while True:
+            try:
+                if not self.loaded:
+                    await self._load()
+                since = self.rev
+                sent_at = trio.current_time()
+                answer = await self._store.follow("s/", since, C.FOLLOW_HOLD_S, C.FOLLOW_HOLD_S + C.FOLLOW_GRACE_S)
+                if answer is None:
+                    self.loaded = False
+                    continue
+                self._take(since, answer, sent_at)
+            except (Unavailable, Ambiguous) as error:
+                log.debug("following: %s", error)
+                await trio.sleep(C.RETRY_S)
+            except (KeyError, TypeError, ValueError):
+                # Guards against an answer of an unexpected form: read everything anew instead of dying.
+                log.exception("following: unexpected answer")
+                self.loaded = False
+                await trio.sleep(C.RETRY_S)
+
+    async def barrier(self) -> bool:
+        """After True the view holds every change committed before this call. One read serves all that
+        wait; it begins after they came, at most at the node's rate of barriers."""
+        event = trio.Event()
+        self._waiting.append(event)
+        self._asked.set()
+        start = trio.current_time()
+        await event.wait()
+        return self.fresh_at >= start
+
+    async def run_barriers(self) -> None:
+        while True:
+            await self._asked.wait()
+            pause = self._last_barrier + self._barrier_gap - trio.current_time()
+            if pause > 0:
+                await trio.sleep(pause)
+            waiting, self._waiting = self._waiting, []
+            self._asked = trio.Event()
+            self._last_barrier = trio.current_time()
+            try:
+                if self.loaded:
+                    since = self.rev
+                    sent_at = trio.current_time()
+                    answer = await self._store.follow("s/", since, 0, C.POLL_DEADLINE_S / 2)
+                    if answer is None:
+                        self.loaded = False
+                    else:
+                        self._take(since, answer, sent_at)
+            except (Unavailable, Ambiguous) as error:
+                log.debug("barrier: %s", error)
+            except (KeyError, TypeError, ValueError):
+                log.exception("barrier: unexpected answer")
+                self.loaded = False
+            for event in waiting:
+                event.set()
--- /dev/null
+++ b/sorrelsill/workers/ledger.py
@@ -0,0 +1,526 @@
+"""The leader's ledger: jobs, machines, and the attempts bound to machines. Pure: no I/O, time is given.
+
+The rule behind everything: an attempt is bound to (machine, session) from before its start is first sent
+until it is *proved* gone. Proofs are: the worker reports it exited; the worker reports a later session;
+the worker reports without it and its start went only into answers to earlier reports (which a worker
+executes before its next report or drops for good); the machine was returned or is listed as failed; or the
+worker's lease has run out since the last report that was answered. Silence short of that, or absence from
+the machine list, proves nothing. Bound attempts count toward team limits, zones and the machine's room."""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from sorrelsill import constants as C
+from sorrelsill.fleet import Catalog, Flavour
+from sorrelsill.jobs import ShardSet, Spec
+from sorrelsill.workers import messages as M
+
+_EPS = 1e-6
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of one task on one machine."""
+
+    uid: str
+    index: int
+    try_no: int
+    host: Host
+    spec: Spec | None  # None: a task of a job that is over or unknown; it is only to be stopped
+    created: float
+    phase: str = "sent"  # until the worker has reported it
+    confirmed: bool = False
+    stop: bool = False
+    wind_down: float = 0.0
+    told_stop_at: float = float("-inf")
+    running_since: float | None = None
+    stop_reason: str = ""
+    exited: bool = False
+    clearable: bool = False
+
+    @property
+    def shard(self) -> str:
+        return f"{self.uid}/{self.index}"
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        return self.uid, self.index, self.try_no
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """A machine and what is bound to it."""
+
+    name: str
+    flavour: str = ""
+    zone: str = ""
+    spot: bool = False
+    addr: str = ""
+    tenure: int = 0
+    serial: int = -1
+    synced: bool = False  # has reported our term as its highest token: no older leader can order it about
+    rostered: bool = False  # its roster key is committed
+    answered_at: float | None = None  # receipt of the last report that we answered
+    lost: bool = False  # its session's lease has run out; only a later session is believed
+    evict_at: float | None = None
+    draining: bool = False
+    returning: bool = False
+    faulty: bool = False
+    attempts: dict[tuple[str, int, int], Attempt] = field(default_factory=dict)
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory: float = 0.0
+    cap_cpus: float = 0.0
+    cap_gpus: float = 0.0
+    cap_memory: float = 0.0
+    cache_gb: float = 0.0
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    idle_since: float = 0.0
+    failed_jobs: set[str] = field(default_factory=set)
+    seen_at: float = float("-inf")
+
+    def room_for(self, spec: Spec) -> bool:
+        return (
+            self.cap_cpus - self.cpus + _EPS >= spec.cpus
+            and self.cap_memory - self.memory + _EPS >= spec.memory
+            and self.cap_gpus - self.gpus + _EPS >= spec.gpus
+        )
+
+    def usable(self) -> bool:
+        return (
+            self.synced
+            and self.rostered
+            and not self.lost
+            and not self.draining
+            and not self.returning
+            and not self.faulty
+            and self.evict_at is None
+        )
+
+    def allows(self, spec: Spec) -> bool:
+        """Type, zone and kind as the job demands; the worker checks none of these."""
+        return (
+            (spec.flavours is None or self.flavour in spec.flavours)
+            and (spec.zone is None or self.zone == spec.zone)
+            and (spec.spot or not self.spot)
+        )
+
+    def hold_image(self, bundle: str, size: float) -> None:
+        """Guess the worker's cache: the most recently used images that fit."""
+        self.images[bundle] = size
+        self.images.move_to_end(bundle)
+        while sum(self.images.values()) > self.cache_gb and len(self.images) > 1:
+            self.images.popitem(last=False)
+
+
+class Job:
+    """A live job as the leader sees it."""
+
+    __slots__ = (
+        "accepted", "avoid", "bound", "cursor", "done", "dirty_chunks", "errors", "not_before", "old", "order",
+        "requeued", "rev", "shown_running", "spec", "submitted", "why", "zones",
+    )  # fmt: skip
+
+    def __init__(self, spec: Spec, done: ShardSet, rev: int, old: bool, now: float, why: list[str]) -> None:
+        self.spec = spec
+        self.done = done
+        self.rev = rev
+        self.old = old  # an earlier leader may have started tasks of it
+        self.submitted = now
+        self.accepted = 0.0  # time of day of the submission, as recorded
+        self.why = why
+        self.bound: dict[int, Attempt] = {}
+        self.zones: dict[str, int] = {}
+        self.cursor = 0
+        self.requeued: list[int] = []
+        self.errors = 0
+        self.not_before = 0.0
+        self.avoid: dict[str, float] = {}
+        self.dirty_chunks: set[int] = set()
+        self.shown_running = 0
+        self.order = 0
+
+    @property
+    def waiting(self) -> int:
+        return self.spec.shards - self.done.count - len(self.bound)
+
+    def next_shard(self) -> int | None:
+        """The lowest task that is neither done nor bound; it stays queued until it is bound."""
+        while self.requeued:
+            index = self.requeued[0]
+            if index in self.done or index in self.bound:
+                heapq.heappop(self.requeued)
+                continue
+            return index
+        while self.cursor < self.spec.shards:
+            if self.cursor not in self.done and self.cursor not in self.bound:
+                return self.cursor
+            self.cursor += 1
+        return None
+
+    def running(self) -> int:
+        return sum(1 for a in self.bound.values() if a.phase in ("running", "saving"))
+
+    def note(self, text: str) -> None:
+        if not self.why or self.why[-1] != text:
+            self.why.append(text)
+            del self.why[: -C.WHY_NOTES]
+
+
+class Superseded(Exception):
+    """A worker has seen a higher token than ours."""
+
+    def __init__(self, token: int) -> None:
+        super().__init__(token)
+        self.token = token
+
+
+class Ledger:
+    def __init__(self, term: int, now: float, catalog: Catalog, loss_s: float, validity_s: float) -> None:
+        self.term = term
+        self.started = now
+        self.catalog = catalog
+        self.loss_s = loss_s
+        self.validity_s = validity_s
+        self.jobs: dict[str, Job] = {}
+        self.hosts: dict[str, Host] = {}
+        self.team_cpus: dict[str, float] = {}
+        self.team_gpus: dict[str, float] = {}
+        self.unheard: dict[str, str] = {}  # roster machines not yet heard with our token -> machine type
+        self.dirty: set[str] = set()  # jobs whose record has to be written
+        self.final: set[str] = set()  # jobs that are over, as committed
+        self.gone: set[str] = set()  # machines whose roster key has to be removed
+        self.renewed_by_others = float("-inf")  # leases may have been renewed by any node up to then
+        self.wake_placing = True
+        self._tries = 0
+        self._orders = 0
+
+    # --- jobs ---
+
+    def add_job(
+        self, spec: Spec, done: ShardSet, rev: int, old: bool, submitted: float, why: list[str], accepted: float = 0.0
+    ) -> Job:
+        job = Job(spec, done, rev, old, submitted, why)
+        job.accepted = accepted
+        self._orders += 1
+        job.order = self._orders
+        self.jobs[spec.uid] = job
+        if done.count == spec.shards and not spec.endless:
+            self.dirty.add(spec.uid)
+        for host in self.hosts.values():
+            for attempt in host.attempts.values():
+                if attempt.uid == spec.uid and attempt.spec is None and not attempt.exited:
+                    self._adopt(attempt, job)
+        self.wake_placing = True
+        return job
+
+    def end_job(self, uid: str) -> None:
+        """The job is over, as committed: none of its tasks may start, all have to go."""
+        job = self.jobs.pop(uid, None)
+        self.dirty.discard(uid)
+        if job is None:
+            return
+        for attempt in list(job.bound.values()):
+            attempt.stop = True
+            attempt.wind_down = 0.0
+            attempt.stop_reason = "over"
+        for host in self.hosts.values():
+            for attempt in host.attempts.values():
+                if attempt.uid == uid and attempt.exited:
+                    attempt.clearable = True
+        self.wake_placing = True
+
+    # --- binding ---
+
+    def next_try(self) -> int:
+        """Grows within the term and across terms, so no attempt number is ever used twice for a task."""
+        self._tries += 1
+        return (self.term << C.TRY_BITS) + self._tries
+
+    def bind(self, job: Job, index: int, host: Host, now: float) -> Attempt:
+        attempt = Attempt(job.spec.uid, index, self.next_try(), host, job.spec, now)
+        self._attach(attempt, job)
+        return attempt
+
+    def _attach(self, attempt: Attempt, job: Job | None) -> None:
+        host = attempt.host
+        host.attempts[attempt.key] = attempt
+        spec = attempt.spec
+        if spec is None:
+            return
+        host.cpus += spec.cpus
+        host.gpus += spec.gpus
+        host.memory += spec.memory
+        self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
+        self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
+        if job is not None and attempt.index not in job.bound:
+            job.bound[attempt.index] = attempt
+            job.zones[host.zone] = job.zones.get(host.zone, 0) + 1
+
+    def _adopt(self, attempt: Attempt, job: Job) -> None:
+        """A task that an earlier leader started. If it is one too many, it is stopped."""
+        host = attempt.host
+        host.attempts.pop(attempt.key, None)
+        attempt.spec = job.spec
+        keep = 0 <= attempt.index < job.spec.shards and attempt.index not in job.done and attempt.index not in job.bound
+        self._attach(attempt, job if keep else None)
+        attempt.stop = not keep
+        if keep:
+            self.dirty.add(job.spec.uid)
+
+    def _unbind(self, attempt: Attempt, now: float, requeue: bool = True) -> None:
+        """The attempt is proved gone: give back what it held."""
+        host, spec = attempt.host, attempt.spec
+        if spec is None:
+            return
+        attempt.spec = None
+        host.cpus = max(0.0, host.cpus - spec.cpus)
+        host.gpus = max(0.0, host.gpus - spec.gpus)
+        host.memory = max(0.0, host.memory - spec.memory)
+        self.team_cpus[spec.team] = max(0.0, self.team_cpus.get(spec.team, 0.0) - spec.cpus)
+        self.team_gpus[spec.team] = max(0.0, self.team_gpus.get(spec.team, 0.0) - spec.gpus)
+        job = self.jobs.get(spec.uid)
+        if job is not None and job.bound.get(attempt.index) is attempt:
+            del job.bound[attempt.index]
+            job.zones[host.zone] = job.zones.get(host.zone, 1) - 1
+            if requeue and attempt.index not in job.done:
+                heapq.heappush(job.requeued, attempt.index)
+            self.dirty.add(spec.uid)
+        if not any(a.spec is not None for a in host.attempts.values() if a is not attempt):
+            host.idle_since = now
+        self.wake_placing = True
+
+    def take_back(self, attempt: Attempt, now: float) -> None:
+        """Undo a binding whose start was certainly never sent: made and undone within one round."""
+        del attempt.host.attempts[attempt.key]
+        self._unbind(attempt, now)
+
+    def _release_all(self, host: Host, now: float, reason: str) -> None:
+        for attempt in list(host.attempts.values()):
+            job = self.jobs.get(attempt.uid)
+            if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
+                job.note(f"task {attempt.index}: {reason} ({host.name})")
+            del host.attempts[attempt.key]
+            self._unbind(attempt, now)
+        host.cpus = host.gpus = host.memory = 0.0
+
+    # --- machines ---
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        self.catalog = catalog
+        for host in self.hosts.values():
+            self._size(host)
+        self.wake_placing = True
+
+    def _size(self, host: Host) -> None:
+        kind: Flavour | None = self.catalog.flavours.get(host.flavour)
+        if kind is not None:
+            host.cap_cpus, host.cap_gpus, host.cap_memory = kind.cpus, kind.gpus, kind.memory
+            host.cache_gb = kind.cache_gb
+
+    def host(self, name: str, flavour: str, zone: str, spot: bool, now: float) -> Host:
+        host = self.hosts.get(name)
+        if host is None:
+            host = self.hosts[name] = Host(name, idle_since=now)
+        if flavour and not host.flavour:
+            host.flavour, host.zone, host.spot = flavour, zone, spot
+            self._size(host)
+        return host
+
+    def expect(self, roster: Iterable[tuple[str, Any]]) -> None:
+        """Machines that an earlier leader may have given work: they have to be heard, or time out."""
+        for name, value in roster:
+            self.unheard[name] = str(value.get("f", "")) if isinstance(value, dict) else ""
+
+    def settled(self, job: Job) -> bool:
+        """Whether everything an earlier leader may have started of a job is accounted for."""
+        return not job.old or not self.unheard
+
+    def unheard_cpus(self) -> float:
+        """What may be running unseen counts in full toward every team's limit."""
+        return sum(f.cpus for s in self.unheard.values() if (f := self.catalog.flavours.get(s)))
+
+    def unheard_gpus(self) -> float:
+        return sum(f.gpus for s in self.unheard.values() if (f := self.catalog.flavours.get(s)))
+
+    def gone_for_certain(self, name: str, now: float, reason: str) -> None:
+        """The machine was returned (answered 200), or is listed as failed."""
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            self._release_all(host, now, reason)
+        self.unheard.pop(name, None)
+        self.gone.add(name)
+        self.wake_placing = True
+
+    def sweep(self, now: float) -> list[Host]:
+        """Declare lost what has been silent for longer than the workers' lease. Returns those machines."""
+        lost = []
+        floor = self.renewed_by_others
+        for host in self.hosts.values():
+            if host.lost or host.answered_at is None:
+                continue
+            if now - max(host.answered_at, floor) > self.loss_s:
+                host.lost = True
+                host.synced = False
+                host.rostered = False
+                self._release_all(host, now, "machine silent, work lost")
+                self.unheard.pop(host.name, None)
+                self.gone.add(host.name)
+                lost.append(host)
+        # An older leader's last answers: its validity ran out before the key could go, but an early
+        # end of the key would let it answer for the rest of that time, so this is waited out as well.
+        if self.unheard and now - max(self.started + self.validity_s, floor) > self.loss_s:
+            for name in [n for n in self.unheard if (h := self.hosts.get(n)) is None or h.answered_at is None]:
+                del self.unheard[name]
+                self.gone.add(name)
+            self.wake_placing = True
+        return lost
+
+    # --- reports ---
+
+    def on_report(
+        self, report: M.Report, now: float, acting: bool = True, fresh: bool = True
+    ) -> list[dict[str, Any]] | None:
+        """Take a report in; the orders for the answer, or None if it must not be answered with 200.
+        Without `acting` (standstill) there are no orders; without a `fresh` view of the jobs, no starts."""
+        if report.epoch > self.term:
+            raise Superseded(report.epoch)
+        host = self.host(report.host, report.flavour, report.region, report.reclaimable, now)
+        host.addr = report.addr or host.addr
+        if (report.tenure, report.serial) <= (host.tenure, host.serial):
+            return None  # late or repeated: its task list is older than what is known
+        if report.tenure > host.tenure:
+            if host.tenure:
+                self._release_all(host, now, "worker's lease ran out")
+            host.images.clear() if host.tenure else None
+            host.tenure = report.tenure
+            host.lost = False
+        elif host.lost:
+            host.serial = report.serial
+            return None  # its lease is over by our clock: only its next session is believed
+        host.serial = report.serial
+        host.seen_at = now
+        host.answered_at = now
+        if report.epoch == self.term and not host.synced:
+            host.synced = True
+            if host.rostered or host.name in self.unheard:
+                host.rostered = True
+            self.unheard.pop(host.name, None)
+            self.wake_placing = True
+        if report.evictInS is not None:
+            host.evict_at = now + report.evictInS
+        self._reconcile(host, report, now)
+        return self.orders(host, fresh) if acting else []
+
+    def _reconcile(self, host: Host, report: M.Report, now: float) -> None:
+        seen = set()
+        for item in report.shards:
+            uid, index = item.split()
+            key = (uid, index, item.tryNo)
+            seen.add(key)
+            attempt = host.attempts.get(key)
+            if attempt is None:
+                attempt = Attempt(uid, index, item.tryNo, host, None, now)
+                host.attempts[key] = attempt
+                job = self.jobs.get(uid)
+                if job is not None and item.phase != "exited":
+                    self._adopt(attempt, job)
+                elif item.phase != "exited":
+                    attempt.stop = True
+            attempt.confirmed = True
+            if attempt.exited:
+                continue
+            if item.phase == "exited":
+                self._exited(attempt, item, now)
+                continue
+            attempt.phase = item.phase
+            if item.phase == "running" and attempt.running_since is None:
+                attempt.running_since = now
+                if attempt.spec is not None:
+                    host.hold_image(attempt.spec.bundle, attempt.spec.bundle_gb)
+                    self.dirty.add(uid)
+        for key in [k for k in host.attempts if k not in seen]:
+            attempt = host.attempts[key]
+            if attempt.exited or attempt.confirmed or attempt.stop:
+                # Cleared, vanished, or never started and no longer wanted: this newer report proves it.
+                del host.attempts[key]
+                self._unbind(attempt, now)
+
+    def _exited(self, attempt: Attempt, item: M.ShardReport, now: float) -> None:
+        attempt.exited = True
+        attempt.phase = "exited"
+        job = self.jobs.get(attempt.uid)
+        cause = item.exitCause or "unknown"
+        host = attempt.host
+        if cause == "done":
+            if job is not None and 0 <= attempt.index < job.spec.shards and not job.spec.endless:
+                if job.done.add(attempt.index):
+                    job.dirty_chunks.add(attempt.index // C.CHUNK_SHARDS)
+                    self.dirty.add(attempt.uid)
+                job.errors = 0
+            else:
+                attempt.clearable = True
+            # Another attempt of the same task would be wasted: the result is there.
+            other = job.bound.get(attempt.index) if job is not None else None
+            if other is not None and other is not attempt:
+                other.stop = True
+            self._unbind(attempt, now, requeue=job is not None and job.spec.endless)
+            return
+        attempt.clearable = True
+        self._unbind(attempt, now)
+        if job is None:
+            return
+        if cause == "halted":
+            job.note(f"task {attempt.index}: stopped{', saved' if item.saved else ''}"
+                     f" ({attempt.stop_reason or 'by an earlier leader'})")  # fmt: skip
+            return
+        job.note(f"task {attempt.index}: {cause} on {host.name}")
+        job.avoid[host.name] = now + C.HOST_AVOID_S
+        if cause == "error":
+            # A job failing on several machines is its own fault, a machine failing several jobs its own.
+            job.errors += 1
+            job.not_before = now + min(C.START_BACKOFF_MAX_S, C.START_BACKOFF_S * 2 ** min(job.errors, 8) / 2)
+            host.failed_jobs.add(attempt.uid)
+            if len(host.failed_jobs) >= C.HOST_ERRORS_SUSPECT:
+                host.faulty = True
+
+    def unrecorded(self, uid: str) -> list[Attempt]:
+        """Exited attempts whose result the next write of the record will hold."""
+        return [
+            a for h in self.hosts.values() for a in h.attempts.values() if a.uid == uid and a.exited and not a.clearable
+        ]
+
+    def orders(self, host: Host, fresh: bool) -> list[dict[str, Any]]:
+        """The difference between what is wanted on a machine and what its worker reported."""
+        out = []
+        for attempt in host.attempts.values():
+            if attempt.exited:
+                # Only once no older leader can order a start any more: a repeated start after
+                # `clear` would run the task again.
+                if attempt.clearable and host.synced:
+                    out.append(M.clear(attempt.shard, attempt.try_no))
+            elif attempt.stop:
+                if attempt.confirmed and (attempt.phase != "saving" or attempt.wind_down == 0):
+                    out.append(M.halt(attempt.shard, attempt.try_no, attempt.wind_down))
+            elif (
+                fresh and not attempt.confirmed and attempt.spec is not None and host.synced
+                and attempt.uid in self.jobs
+            ):  # fmt: skip
+                out.append(M.start(attempt.shard, attempt.try_no))
+        return out
+
+    # --- stopping ---
+
+    def stop(self, attempt: Attempt, reason: str) -> None:
+        """Stop a task to make room or to drain; it may save if that is worth the time."""
+        if attempt.stop or attempt.exited:
+            return
+        attempt.stop = True
+        attempt.stop_reason = reason
+        spec = attempt.spec
+        attempt.wind_down = spec.snapshot_cost_s + 1.0 if spec is not None and spec.snapshot_s > 0 else 0.0
