--- /dev/null
+++ b/sorrelsill/cli.py
@@ -0,0 +1,132 @@
+"""The `sorrelsill` command line: serve, check settings, and talk to a controller as a user does."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import click
+import msgspec
+import orjson
+import trio
+
+from sorrelsill import __version__
+from sorrelsill import constants as C
+from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.settings import SettingsError, Timings, load, load_operator, split_addr
+
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+def _ask(addr: str, method: str, target: str, body: Any = None) -> Any:
+    """One request to a controller; anything but 200 or 201 ends the command with its reason."""
+    try:
+        split_addr(addr)
+    except ValueError as error:
+        raise click.UsageError(f"--controller: {error}") from None
+    data = msgspec.msgpack.encode(body) if body is not None else b""
+    try:
+        status, raw = trio.run(Client(addr).request, method, target, data, C.CLI_TIMEOUT_S)
+        answer = msgspec.msgpack.decode(raw) if raw else {}
+    except (NotSent, NoAnswer, msgspec.DecodeError) as error:
+        raise click.ClickException(str(error)) from None
+    if status not in (200, 201):
+        reason = answer.get("error") if isinstance(answer, dict) else None
+        raise click.ClickException(f"{status}{f': {reason}' if reason else ''}")
+    return answer
+
+
+def _print(answer: Any) -> None:
+    click.echo(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
+
+
+def _controller(command: F) -> F:
+    return click.option(
+        "--controller", "-c", required=True, envvar="SORRELSILL_CONTROLLER", help="address of any controller, IP:PORT"
+    )(command)
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """sorrelsill, a cluster scheduler."""
+
+
+@main.command()
+@click.option("--config", required=True, help="the platform's settings file (TOML)")
+@click.option("--operator", default=None, help="the operators' own settings (HCL)")
+def serve(config: str, operator: str | None) -> None:
+    """Run a controller until it is killed."""
+    from sorrelsill.serve import serve as run  # noqa: PLC0415 - only this verb needs the whole service
+
+    sys.exit(run(config, operator))
+
+
+@main.command()
+@click.option("--config", required=True, help="the platform's settings file (TOML)")
+@click.option("--operator", default=None, help="the operators' own settings (HCL)")
+def check(config: str, operator: str | None) -> None:
+    """Check settings and show the timings derived from them."""
+    try:
+        settings = load(config)
+        timings = Timings.derive(settings.facts.workers, load_operator(operator))
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    _print({"label": settings.label, **msgspec.to_builtins(timings)})
+
+
+@main.command()
+@_controller
+@click.argument("file", type=click.File("rb"))
+def submit(controller: str, file: Any) -> None:
+    """Submit a job described in a JSON FILE (- for standard input)."""
+    try:
+        body = orjson.loads(file.read())
+    except orjson.JSONDecodeError as error:
+        raise click.ClickException(f"not JSON: {error}") from None
+    _print(_ask(controller, "POST", "/v2/runs", body))
+
+
+@main.command()
+@_controller
+@click.argument("uid")
+def show(controller: str, uid: str) -> None:
+    """A job's state, and why its tasks stopped or wait."""
+    _print(_ask(controller, "GET", f"/v2/runs/{quote(uid, safe='')}/why"))
+
+
+@main.command("list")
+@_controller
+@click.argument("team")
+def list_runs(controller: str, team: str) -> None:
+    """A team's live jobs, and only its own."""
+    after = ""
+    while True:
+        answer = _ask(controller, "GET", f"/v2/teams/{quote(team, safe='')}/runs?after={quote(after, safe='')}")
+        for run in answer["runs"]:
+            after = run["uid"]
+            click.echo(f"{run['uid']}\t{run['workload']}\t{run['phase']}\tdone {run['done']}\trunning {run['running']}")
+        if not answer["hasNext"]:
+            return
+
+
+@main.command()
+@_controller
+@click.argument("uid")
+def cancel(controller: str, uid: str) -> None:
+    """Cancel a job."""
+    _print(_ask(controller, "POST", f"/v2/runs/{quote(uid, safe='')}/cancel"))
+
+
+@main.command()
+@_controller
+def status(controller: str) -> None:
+    """What a controller believes: who leads, machines, jobs, waiting tasks."""
+    _print(_ask(controller, "GET", "/state"))
+
+
+if __name__ == "__main__":
+    main()
--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -51,6 +51,7 @@
 WRITER_TICK_S: Final = 0.2  # s; finished tasks and changed states are gathered this long per write
 
 # --- users ------------------------------------------------------------------------------------------
+CLI_TIMEOUT_S: Final = 6.0  # s; the command line waits a little longer than the 5 s a user does
 RETRY_AFTER_S: Final = 1  # s; told with 503 and 429: the least a user waits anyway
 ADMIT_QUEUE: Final = 256  # submissions waiting for one batch; more are answered 429 at once
 ADMIT_DEADLINE_S: Final = 3.0  # s; a user waits 5 s: the final answer has to be out before
