--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -87,14 +87,15 @@
 LIST_EVERY_S: Final = 4.0  # s; between two readings of the machine list
 CATALOG_EVERY_S: Final = 60.0  # s; between two readings of the catalog once it is known
 NO_CAPACITY_S: Final = 8.0  # s; an offer that was refused is not asked again before this
-IDLE_RETURN_S: Final = 25.0  # s; a machine without work is returned after this where money counts
-IDLE_RETURN_FREE_S: Final = 600.0  # s; the same where no aim speaks of money
+IDLE_RETURN_S: Final = 15.0  # s; a machine without work is returned after this ...
+IDLE_RETURN_HURRIED_S: Final = 600.0  # s; ... and after this where aims leave no time to boot another
 BOOT_SLOW: Final = 4.0  # ratio; a machine still booting after this times its boot time ...
 BOOT_EXTRA_S: Final = 30.0  # s; ... plus this is given up and returned
 SILENT_RETURN_S: Final = 30.0  # s; a machine whose work is lost and that stays silent goes back after this
 RENT_TRIES: Final = 4  # tries; of one rental request before it is planned anew
 DEADLINE_USE: Final = 0.7  # ratio; of the time to a deadline that is planned for, as estimates are often wrong
 FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
+USE_LOG_S: Final = 10.0  # s; between two notes of the fleet's use in the debug log
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
 
 # --- peers ------------------------------------------------------------------------------------------
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -78,13 +78,13 @@
 
     def __init__(
         self, cloud: Cloud, ledger: Ledger, valid: Callable[[], bool], demand: Callable[[], list[Unplaced]],
-        money_counts: bool, lag_s: float,
+        hurried: bool, lag_s: float,
     ) -> None:  # fmt: skip
         self._cloud = cloud
         self._ledger = ledger
         self._valid = valid
         self._demand = demand
-        self._money = money_counts
+        self._hurried = hurried
         self._lag = lag_s
         self.pending: dict[str, Pending] = {}
         self.refused: dict[Offer, float] = {}
@@ -93,6 +93,7 @@
         self._listed_at = float("-inf")
         self._catalog_at = float("-inf")
         self._lists = 0
+        self._reported_at = float("-inf")
         self._running_since: dict[str, float] = {}
         self._give_back: dict[str, str] = {}  # machine -> why it goes back
         self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
@@ -105,6 +106,7 @@
             if not self._ledger.catalog.flavours:
                 return
         self._forget_arrived(now)
+        self._report_use(now)
         self._choose_returns(now)
         if now - self._listed_at >= C.LIST_EVERY_S:
             await self._read_list()
@@ -178,6 +180,29 @@
             if name not in found and host.lost and now - host.seen_at > patience:
                 del self._ledger.hosts[name]
 
+    def _report_use(self, now: float) -> None:
+        """For operators who ask where the money goes: machines, room and use by kind."""
+        if not log.isEnabledFor(logging.DEBUG) or now - self._reported_at < C.USE_LOG_S:
+            return
+        self._reported_at = now
+        kinds: dict[tuple[str, bool], list[float]] = {}
+        for host in self._ledger.hosts.values():
+            row = kinds.setdefault((host.flavour, host.spot), [0, 0, 0, 0, 0])
+            row[0] += 1
+            row[1] += host.cap_cpus
+            for a in host.attempts.values():
+                if a.spec is not None:
+                    row[2 if a.phase == "running" else 3] += a.spec.cpus
+        for p in self.pending.values():
+            kinds.setdefault((p.flavour, p.spot), [0, 0, 0, 0, 0])[4] += 1
+        for (flavour, spot), row in sorted(kinds.items()):
+            log.debug(
+                "use: %s%s %d machines, %g CPUs, %g running, %g not yet; %d coming",
+                flavour, " spot" if spot else "", *row,
+            )  # fmt: skip
+        waiting = [(u.job.spec.uid, u.count, u.job.spec.expected_s) for u in self._demand()]
+        log.debug("waiting: %s", waiting)
+
     # --- returning ---
 
     def _forget_arrived(self, now: float) -> None:
@@ -186,7 +211,7 @@
         self.refused = {o: t for o, t in self.refused.items() if t > now}
 
     def _choose_returns(self, now: float) -> None:
-        idle = C.IDLE_RETURN_S if self._money else C.IDLE_RETURN_FREE_S
+        idle = C.IDLE_RETURN_HURRIED_S if self._hurried else C.IDLE_RETURN_S
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
                 continue
@@ -248,7 +273,7 @@
                 continue
             job, spec = item.job, item.job.spec
             count = min(item.count, 40 * C.RENT_MAX)
-            if self._money and spec.due_s is not None and not spec.endless:
+            if spec.due_s is not None and not spec.endless:
                 count = min(count, self._enough(item, now))
             if count > 0:
                 out.append(
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -84,7 +84,7 @@
         self.recorder.on_superseded = lambda: self.elector.superseded(term + 1)
         self.fleet = FleetManager(
             self.cloud, ledger, self.elector.valid, lambda: list(self.placer.unplaced.values()),
-            self.settings.money_counts, self.settings.facts.cloud.list_lag_s,
+            self.settings.hurried, self.settings.facts.cloud.list_lag_s,
         )  # fmt: skip
         self.fleet.on_catalog = self._on_catalog
         self.placer.reset()
@@ -199,6 +199,7 @@
         except BadReport as error:
             return Reply(400, _encode({"error": str(error)}))
         self._count("reports")
+        log.debug("report: %s", report)
         ledger = self.ledger
         if ledger is not None and (self.elector.valid() or self.standstill.active()):
             acting = self.elector.valid()
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -92,9 +92,11 @@
     members: list[Member] = []
 
     @property
-    def money_counts(self) -> bool:
-        """Whether an aim speaks of money: without one, idle machines are worth keeping."""
-        return any(o.kind in ("price", "useful") for o in self.facts.objectives)
+    def hurried(self) -> bool:
+        """Whether an aim counts seconds since submission for work that ends: then a machine's boot time
+        comes too late and idle machines are worth keeping. Deadlines leave time to boot; the aims on
+        money are not told to controllers, so elsewhere money is saved."""
+        return any(o.kind in ("finished", "guarantee") for o in self.facts.objectives)
 
 
 class Timings(msgspec.Struct, frozen=True):
