Gangs share an attempt number; a catalog that comes during a look-up refuses nobody

Cause 2: a gang's tasks find each other by a common attempt number; with own numbers they wait for ever.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -87,6 +87,7 @@
 LIST_EVERY_S: Final = 4.0  # s; between two readings of the machine list
 CATALOG_EVERY_S: Final = 60.0  # s; between two readings of the catalog once it is known
 NO_CAPACITY_S: Final = 8.0  # s; an offer that was refused is not asked again before this
+NO_CAPACITY_MAX_S: Final = 24.0  # s; the pause doubles with each refusal in a row up to this
 IDLE_RETURN_S: Final = 15.0  # s; a machine without work is returned after this ...
 IDLE_RETURN_HURRIED_S: Final = 600.0  # s; ... and after this where aims leave no time to boot another
 BOOT_SLOW: Final = 4.0  # ratio; a machine still booting after this times its boot time ...
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -88,6 +88,7 @@
         self._lag = lag_s
         self.pending: dict[str, Pending] = {}
         self.refused: dict[Offer, float] = {}
+        self._refusals: dict[Offer, int] = {}
         self._open: list[_Rental] = []
         self._counter = 0
         self._listed_at = float("-inf")
@@ -317,6 +318,12 @@
             ref = f"r-{self._ledger.term}-{self._counter}"
             self._open.append(_Rental(ref, offer, min(count, C.RENT_MAX)))
 
+    def _refuse(self, offer: Offer, now: float) -> None:
+        """Not again for a while, longer each time: refused calls use up the cloud's rate all the same."""
+        times = self._refusals.get(offer, 0)
+        self._refusals[offer] = times + 1
+        self.refused[offer] = now + min(C.NO_CAPACITY_MAX_S, C.NO_CAPACITY_S * 2**times)
+
     async def _rent(self) -> None:
         now = trio.current_time()
         due = [r for r in self._open if r.next_at <= now]
@@ -335,7 +342,7 @@
             status = getattr(error, "status", 0)
             now = trio.current_time()
             if "no capacity" in str(error) or status == 400:
-                self.refused[rental.offer] = now + C.NO_CAPACITY_S
+                self._refuse(rental.offer, now)
                 self._open.remove(rental)
             elif rental.tries >= C.RENT_TRIES and not getattr(error, "sent", True):
                 self._open.remove(rental)
@@ -351,6 +358,7 @@
         for name in names:
             if name not in self._ledger.hosts:
                 self.pending[name] = Pending(name, flavour, zone, spot, now)
+        self._refusals.pop(rental.offer, None)
         if len(names) < rental.count:
-            self.refused[rental.offer] = now + C.NO_CAPACITY_S
+            self._refuse(rental.offer, now)
         log.info("rented %d of %d %s in %s, spot %s", len(names), rental.count, flavour, zone, spot)
--- a/sorrelsill/jobs/admission.py
+++ b/sorrelsill/jobs/admission.py
@@ -187,8 +187,11 @@
             if state is not None:
                 waiting.answer = 200, state
             elif self.catalog is not None:
+                # The catalog may have come during the look-up: then the job may well be possible, and is
+                # sent back to be asked again rather than refused for good.
                 reason = impossible(waiting.spec, self._teams, self.catalog)
-                waiting.answer = 422, {"error": reason or "can never run"}
+                if reason is not None:
+                    waiting.answer = 422, {"error": reason}
 
     # --- polls ---
 
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -141,13 +141,14 @@
         spec = job.spec
         made: list[Attempt] = []
         limited = not self._under_limit(ledger, spec, job.waiting)
+        try_no = ledger.next_try()
         while not limited and (index := job.next_shard()) is not None:
             host = self.choose(job, hosts, now)
             if host is None:
                 for attempt in made:
                     ledger.take_back(attempt, now)
                 break
-            made.append(ledger.bind(job, index, host, now))
+            made.append(ledger.bind(job, index, host, now, try_no))
         if job.waiting > 0:
             self.unplaced[spec.uid] = Unplaced(job, job.waiting, limited)
             job.note("waiting: the whole group does not fit at once")
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -242,8 +242,9 @@
         self._tries += 1
         return (self.term << C.TRY_BITS) + self._tries
 
-    def bind(self, job: Job, index: int, host: Host, now: float) -> Attempt:
-        attempt = Attempt(job.spec.uid, index, self.next_try(), host, job.spec, now)
+    def bind(self, job: Job, index: int, host: Host, now: float, try_no: int | None = None) -> Attempt:
+        """`try_no` is given for gangs, whose tasks find each other by a common attempt number."""
+        attempt = Attempt(job.spec.uid, index, try_no or self.next_try(), host, job.spec, now)
         self._attach(attempt, job)
         return attempt
 
