Orders sent straight to workers, and a greeting at takeover

Cause: a start waited for the next report (1 to 2.5 s), room made by a halt for two of them; a new leader waited for all reports. Ruled out: holding reports back until there are orders, which delays what workers have to say.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -37,6 +37,11 @@
 HOST_AVOID_S: Final = 120.0  # s; a machine that refused or failed a job's task is avoided for that job
 TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
 
+PUSH_TIMEOUT_S: Final = 2.0  # s; for a worker's answer to orders sent straight to it
+PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long
+PUSH_AT_ONCE: Final = 32  # calls to workers in flight
+PUSH_CLIENTS: Final = 96  # machines to which a connection is kept
+
 # --- state service ----------------------------------------------------------------------------------
 STORE_TIMEOUT_S: Final = 1.5  # s; an answer normally takes 10 ms, now and then a few hundred
 FOLLOW_HOLD_S: Final = 1.0  # s; length of a watch, which bounds how stale the view can silently get
--- a/sorrelsill/http/client.py
+++ b/sorrelsill/http/client.py
@@ -79,6 +79,11 @@
                     await trio.aclose_forcefully(conn.stream)
         raise (NoAnswer if sent else NotSent)(f"{self.addr}: no answer within {timeout:.1f} s")
 
+    def close(self) -> None:
+        """Drop the kept connections; one in use closes by itself when it is through."""
+        while self._idle:
+            _close_now(self._idle.pop().stream)
+
     async def _answer(self, conn: _Conn) -> tuple[int, bytes]:
         status = 0
         chunks: list[bytes] = []
--- a/sorrelsill/jobs/recorder.py
+++ b/sorrelsill/jobs/recorder.py
@@ -97,7 +97,7 @@
             batch.after.append(lambda rev, name=name: ledger.gone.discard(name))  # type: ignore[misc]
         for host in ledger.hosts.values():
             if host.synced and not host.rostered and not host.returning and batch.room(0, 1, 200):
-                batch.writes.append(Put(roster_key(host.name), {"f": host.flavour}))
+                batch.writes.append(Put(roster_key(host.name), {"f": host.flavour, "a": host.addr}))
 
                 def rostered(rev: int, host: object = host, tenure: int = host.tenure) -> None:
                     if host.synced and host.tenure == tenure:  # type: ignore[attr-defined]
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -23,7 +23,7 @@
 from sorrelsill.settings import Operator, Settings, Timings
 from sorrelsill.store import CATALOG, LEADER, Condition, Put, Store, Unavailable, View
 from sorrelsill.store import Ambiguous as StoreAmbiguous
-from sorrelsill.workers import BadReport, Ledger, Superseded, parse_report
+from sorrelsill.workers import BadReport, Ledger, Pusher, Superseded, parse_report
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +59,8 @@
         self.catalog: Catalog | None = None
         self._catalog_raw: Any = None
         self._catalog_saved: Any = None
+        self.pusher = Pusher(make_client, self.elector.valid, self._fresh)
+        self.pusher.on_news = self._news
         self._labels = {m.label for m in settings.members}
         self._wake = trio.Event()
         self.counts: dict[str, int] = {}
@@ -117,6 +119,14 @@
             self._add_job(ledger, uid, value, rev)
             self._wake.set()
 
+    def _fresh(self) -> bool:
+        """Whether the view of the jobs is recent enough to start anything on it."""
+        return trio.current_time() - self.view.fresh_at < C.VIEW_STALE_S
+
+    def _news(self) -> None:
+        if self.ledger is not None and self.ledger.wake_placing:
+            self._wake.set()
+
     def _add_job(self, ledger: Ledger, uid: str, value: Any, rev: int) -> None:
         try:
             spec, done, why = parse_record(value, self.view.chunks(uid))
@@ -205,15 +215,13 @@
             acting = self.elector.valid()
             now = trio.current_time()
             try:
-                fresh = now - self.view.fresh_at < C.VIEW_STALE_S
-                orders = ledger.on_report(report, now, acting, fresh)
+                orders = ledger.on_report(report, now, acting, self._fresh())
             except Superseded as error:
                 self.elector.superseded(error.token)
                 return Reply(421, _encode({}))
             if orders is None:
                 return Reply(503)
-            if ledger.wake_placing:
-                self._wake.set()
+            self._news()
             token = ledger.term if acting else report.epoch
             return Reply(200, _encode({"epoch": token, "orders": orders}))
         if self.standstill.active():
@@ -268,6 +276,7 @@
             nursery.start_soon(self.admission.run)
             nursery.start_soon(self.elector.run)
             nursery.start_soon(self.standstill.run)
+            self._nursery = nursery
             nursery.start_soon(self._loop, "place", self._place, self.tick_s)
             nursery.start_soon(self._loop, "record", self._record, C.WRITER_TICK_S)
             nursery.start_soon(self._loop, "fleet", self._fleet, C.FLEET_TICK_S)
@@ -295,6 +304,9 @@
         ledger.wake_placing = False
         if not self.placer.round(ledger, now, trio.current_time, C.ROUND_BUDGET_S):
             self._wake.set()
+        self.pusher.start_due(ledger, self._nursery)
+        for name in ledger.unheard:
+            self.pusher.greet(ledger, name, ledger.unheard_addr.get(name, ""), self._nursery)
 
     async def _record(self) -> None:
         while self.recorder is not None and await self.recorder.step():
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -140,6 +140,8 @@
         """All tasks at once or none: nothing is sent before all of them are bound."""
         spec = job.spec
         made: list[Attempt] = []
+        if job.bound:
+            return  # what is left of the last try ends by itself; only a whole group starts together
         limited = not self._under_limit(ledger, spec, job.waiting)
         try_no = ledger.next_try()
         while not limited and (index := job.next_shard()) is not None:
--- a/sorrelsill/workers/__init__.py
+++ b/sorrelsill/workers/__init__.py
@@ -2,5 +2,6 @@
 
 from sorrelsill.workers.ledger import Attempt, Host, Job, Ledger, Superseded
 from sorrelsill.workers.messages import BadReport, Report, parse_report
+from sorrelsill.workers.push import Pusher
 
-__all__ = ["Attempt", "BadReport", "Host", "Job", "Ledger", "Report", "Superseded", "parse_report"]
+__all__ = ["Attempt", "BadReport", "Host", "Job", "Ledger", "Pusher", "Report", "Superseded", "parse_report"]
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -41,6 +41,9 @@
     running_since: float | None = None
     stop_reason: str = ""
     exited: bool = False
+    loose: int = 0  # direct starts of it that are unanswered: they may still be executed
+    pushed_start: bool = False
+    pushed_stop: bool = False
     clearable: bool = False
 
     @property
@@ -192,6 +195,7 @@
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
         self.unheard: dict[str, str] = {}  # roster machines not yet heard with our token -> machine type
+        self.unheard_addr: dict[str, str] = {}
         self.dirty: set[str] = set()  # jobs whose record has to be written
         self.final: set[str] = set()  # jobs that are over, as committed
         self.gone: set[str] = set()  # machines whose roster key has to be removed
@@ -336,7 +340,9 @@
     def expect(self, roster: Iterable[tuple[str, Any]]) -> None:
         """Machines that an earlier leader may have given work: they have to be heard, or time out."""
         for name, value in roster:
-            self.unheard[name] = str(value.get("f", "")) if isinstance(value, dict) else ""
+            known = value if isinstance(value, dict) else {}
+            self.unheard[name] = str(known.get("f", ""))
+            self.unheard_addr[name] = str(known.get("a", ""))
 
     def settled(self, job: Job) -> bool:
         """Whether everything an earlier leader may have started of a job is accounted for."""
@@ -385,7 +391,7 @@
     # --- reports ---
 
     def on_report(
-        self, report: M.Report, now: float, acting: bool = True, fresh: bool = True
+        self, report: M.Report, now: float, acting: bool = True, fresh: bool = True, renews: bool = True
     ) -> list[dict[str, Any]] | None:
         """Take a report in; the orders for the answer, or None if it must not be answered with 200.
         Without `acting` (standstill) there are no orders; without a `fresh` view of the jobs, no starts."""
@@ -406,7 +412,8 @@
             return None  # its lease is over by our clock: only its next session is believed
         host.serial = report.serial
         host.seen_at = now
-        host.answered_at = now
+        if renews or host.answered_at is None:
+            host.answered_at = now
         if report.epoch == self.term and not host.synced:
             host.synced = True
             if host.rostered or host.name in self.unheard:
@@ -418,6 +425,11 @@
         self._reconcile(host, report, now)
         return self.orders(host, fresh) if acting else []
 
+    def on_answer(self, report: M.Report, now: float) -> None:
+        """A worker's state in its answer to a direct call: as good as a report, but it renews no lease."""
+        if report.epoch <= self.term:
+            self.on_report(report, now, acting=False, renews=False)
+
     def _reconcile(self, host: Host, report: M.Report, now: float) -> None:
         seen = set()
         for item in report.shards:
@@ -447,6 +459,8 @@
                     self.dirty.add(uid)
         for key in [k for k in host.attempts if k not in seen]:
             attempt = host.attempts[key]
+            if attempt.loose and not attempt.confirmed:
+                continue  # its direct start may still be executed, so its absence proves nothing
             if attempt.exited or attempt.confirmed or attempt.stop:
                 # Cleared, vanished, or never started and no longer wanted: this newer report proves it.
                 del host.attempts[key]
@@ -503,10 +517,15 @@
             if attempt.exited:
                 # Only once no older leader can order a start any more: a repeated start after
                 # `clear` would run the task again.
-                if attempt.clearable and host.synced:
+                if attempt.clearable and host.synced and not attempt.loose:
                     out.append(M.clear(attempt.shard, attempt.try_no))
             elif attempt.stop:
-                if attempt.confirmed and (attempt.phase != "saving" or attempt.wind_down == 0):
+                if attempt.loose and not attempt.confirmed and host.synced:
+                    # Get it onto the worker first: a late direct start then finds the attempt ended
+                    # there, and has no effect.
+                    out.append(M.start(attempt.shard, attempt.try_no))
+                    out.append(M.halt(attempt.shard, attempt.try_no, 0.0))
+                elif attempt.confirmed and (attempt.phase != "saving" or attempt.wind_down == 0):
                     out.append(M.halt(attempt.shard, attempt.try_no, attempt.wind_down))
             elif (
                 fresh and not attempt.confirmed and attempt.spec is not None and host.synced
@@ -515,6 +534,41 @@
                 out.append(M.start(attempt.shard, attempt.try_no))
         return out
 
+    # --- direct orders ---
+
+    def has_direct(self, host: Host, fresh: bool) -> bool:
+        return any(self._direct(a, fresh) for a in host.attempts.values())
+
+    def _direct(self, attempt: Attempt, fresh: bool) -> bool:
+        if attempt.exited:
+            return False
+        if attempt.stop:
+            return attempt.confirmed and not attempt.pushed_stop and attempt.phase != "saving"
+        return (
+            fresh and not attempt.confirmed and not attempt.pushed_start
+            and attempt.spec is not None and attempt.uid in self.jobs
+        )  # fmt: skip
+
+    def take_direct(self, host: Host, fresh: bool) -> tuple[list[dict[str, Any]], list[Attempt]]:
+        """Orders not sent yet, for one direct call; its starts are loose until it is answered."""
+        orders, started = [], []
+        for attempt in host.attempts.values():
+            if not self._direct(attempt, fresh):
+                continue
+            if attempt.stop:
+                attempt.pushed_stop = True
+                orders.append(M.halt(attempt.shard, attempt.try_no, attempt.wind_down))
+            else:
+                attempt.pushed_start = True
+                attempt.loose += 1
+                started.append(attempt)
+                orders.append(M.start(attempt.shard, attempt.try_no))
+        return orders, started
+
+    def direct_answered(self, attempts: list[Attempt]) -> None:
+        for attempt in attempts:
+            attempt.loose -= 1
+
     # --- stopping ---
 
     def stop(self, attempt: Attempt, reason: str) -> None:
--- /dev/null
+++ b/sorrelsill/workers/push.py
@@ -0,0 +1,135 @@
+"""Orders sent straight to workers, so that a start does not wait for the next report.
+
+Such an order may be executed minutes late while token and session still match, so an attempt whose direct
+start is unanswered is *loose*: a report without it proves nothing, it is never cleared, and to be rid of it
+the same start goes out again in an answer to a report (which cannot be late), followed by a halt."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.settings import split_addr
+from sorrelsill.workers.messages import BadReport, parse_report
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.ledger import Host, Ledger
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Pusher:
+    """One call in flight per machine, a bounded number in all; a machine that fails is left alone a while."""
+
+    def __init__(self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool]) -> None:
+        self._make = client
+        self._valid = valid
+        self._fresh = fresh
+        self._clients: OrderedDict[str, Client] = OrderedDict()
+        self._busy: set[str] = set()
+        self._not_before: dict[str, float] = {}
+        self.on_news: Callable[[], None] = lambda: None
+
+    def _client(self, addr: str) -> Client:
+        client = self._clients.get(addr)
+        if client is None:
+            client = self._clients[addr] = self._make(addr)
+            while len(self._clients) > C.PUSH_CLIENTS:
+                self._clients.popitem(last=False)[1].close()
+        self._clients.move_to_end(addr)
+        return client
+
+    def start_due(self, ledger: Ledger, nursery: trio.Nursery) -> None:
+        """Start a call for every machine with orders it was not sent yet."""
+        now = trio.current_time()
+        if not self._valid():
+            return
+        for host in ledger.hosts.values():
+            if len(self._busy) >= C.PUSH_AT_ONCE:
+                return
+            if host.name in self._busy or not _usable(host.addr) or self._not_before.get(host.name, 0.0) > now:
+                continue
+            if host.synced and not host.lost and ledger.has_direct(host, self._fresh()):
+                self._busy.add(host.name)
+                nursery.start_soon(self._push, ledger, host)
+
+    def greet(self, ledger: Ledger, name: str, addr: str, nursery: trio.Nursery) -> None:
+        """Show our token to a machine of the roster: its answer is its state, with nothing older to come."""
+        if name in self._busy or not _usable(addr) or self._not_before.get(name, 0.0) > trio.current_time():
+            return
+        self._busy.add(name)
+        nursery.start_soon(self._greet, ledger, name, addr)
+
+    async def _push(self, ledger: Ledger, host: Host) -> None:
+        try:
+            if not self._valid() or host.lost:
+                return
+            orders, attempts = ledger.take_direct(host, self._fresh())
+            if not orders:
+                return
+            body = _encode({"epoch": ledger.term, "tenure": host.tenure, "orders": orders})
+            try:
+                status, raw = await self._client(host.addr).request("POST", "/commands", body, C.PUSH_TIMEOUT_S)
+            except NotSent as error:
+                ledger.direct_answered(attempts)
+                self._later(host.name, str(error))
+                return
+            except NoAnswer as error:
+                self._later(host.name, str(error))  # the attempts stay loose
+                return
+            if status in (200, 400, 409):
+                ledger.direct_answered(attempts)
+                self._take(ledger, raw)
+            else:
+                self._later(host.name, f"status {status}")
+        finally:
+            self._busy.discard(host.name)
+
+    async def _greet(self, ledger: Ledger, name: str, addr: str) -> None:
+        try:
+            status, raw = await self._client(addr).request("GET", "/status", b"", C.PUSH_TIMEOUT_S)
+            if status != 200 or not self._valid():
+                return
+            tenure = parse_report(raw).tenure
+            body = _encode({"epoch": ledger.term, "tenure": tenure, "orders": []})
+            status, raw = await self._client(addr).request("POST", "/commands", body, C.PUSH_TIMEOUT_S)
+            if status in (200, 409):
+                self._take(ledger, raw)
+        except (NotSent, NoAnswer, BadReport) as error:
+            self._later(name, str(error))
+        finally:
+            self._busy.discard(name)
+
+    def _take(self, ledger: Ledger, raw: bytes) -> None:
+        try:
+            report = parse_report(raw)
+        except BadReport as error:
+            log.info("a worker's answer: %s", error)
+            return
+        if self._valid():
+            ledger.on_answer(report, trio.current_time())
+            self.on_news()
+
+    def _later(self, name: str, why: str) -> None:
+        log.debug("%s not reached: %s", name, why)
+        self._not_before[name] = trio.current_time() + C.PUSH_BACKOFF_S
+        if len(self._not_before) > 4 * C.PUSH_CLIENTS:
+            now = trio.current_time()
+            self._not_before = {n: t for n, t in self._not_before.items() if t > now}
+
+
+def _usable(addr: str) -> bool:
+    try:
+        split_addr(addr)
+    except ValueError:
+        return False
+    return True
