Order jobs of a rank by the next mark they can still meet

Cause: oldest first lets jobs that are late for good hold up those that could be in time. Ruled out: shortest first, which starves long jobs.

--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -11,7 +11,7 @@
 
 from sorrelsill import constants as C
 from sorrelsill.jobs import GANG, Spec
-from sorrelsill.settings import Team
+from sorrelsill.settings import Objective, Team
 from sorrelsill.workers import Attempt, Host, Job, Ledger
 
 _PROD = 0
@@ -27,7 +27,14 @@
 
 
 class Placer:
-    def __init__(self, teams: list[Team], rng: random.Random, sample: int) -> None:
+    def __init__(self, teams: list[Team], objectives: list[Objective], rng: random.Random, sample: int) -> None:
+        self._within: dict[str, list[float]] = {}  # class -> seconds after submission that its aims name
+        self._times: dict[str, list[float]] = {}  # class -> multiples of the deadline that its aims name
+        for aim in objectives:
+            if aim.workload and aim.kind == "finished" and aim.within_s:
+                self._within.setdefault(aim.workload, []).append(aim.within_s)
+            if aim.workload and aim.kind == "deadline":
+                self._times.setdefault(aim.workload, []).append(aim.times or 1.0)
         self._teams = {t.name: t for t in teams}
         self._rng = rng
         self._sample = sample
@@ -60,11 +67,25 @@
                 inside.add(job.spec.uid)
         return inside
 
-    def _order(self, ledger: Ledger) -> list[str]:
-        def key(job: Job) -> tuple[int, int, int, float, float]:
-            due = job.submitted + job.spec.due_s if job.spec.due_s is not None else float("inf")
+    def due(self, job: Job, now: float) -> tuple[int, float]:
+        """The next moment that matters to the job's user and can still be met, after how many missed ones.
+        A job that is late for good waits behind those that are not."""
+        spec = job.spec
+        marks = list(self._within.get(spec.workload, []))
+        if spec.due_s is not None:
+            marks += [spec.due_s * t for t in self._times.get(spec.workload, [1.0])]
+        missed = 0
+        for mark in sorted(marks):
+            if job.submitted + mark >= now + spec.expected_s:
+                return missed, job.submitted + mark
+            missed += 1
+        return missed, job.submitted
+
+    def _order(self, ledger: Ledger, now: float) -> list[str]:
+        def key(job: Job) -> tuple[int, int, int, int, float, float]:
+            missed, due = self.due(job, now)
             guaranteed = 0 if job.spec.uid in self.guaranteed else 1
-            return (min(job.spec.rank, 1), guaranteed, job.spec.rank, due, job.submitted)
+            return (min(job.spec.rank, 1), guaranteed, job.spec.rank, missed, due, job.submitted)
 
         return [j.spec.uid for j in sorted(ledger.jobs.values(), key=key) if j.waiting > 0]
 
@@ -85,7 +106,7 @@
         begun = clock()
         if not self._left:
             self.guaranteed = self._find_guaranteed(ledger)
-            self._left = self._order(ledger)
+            self._left = self._order(ledger, now)
             self.unplaced = {u: d for u, d in self.unplaced.items() if u in ledger.jobs}
             self._claims = {k: t for k, t in self._claims.items() if t > now}
         hosts = [h for h in ledger.hosts.values() if h.usable()]
