--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -31,6 +31,7 @@
 
 # --- workers ----------------------------------------------------------------------------------------
 LOSS_MARGIN_S: Final = 0.5  # s; on top of lease and drift before silent work is declared lost
+DRAIN_AHEAD_S: Final = 2.5  # s; work on a machine that will be taken is told to save this much ahead
 START_BACKOFF_S: Final = 2.0  # s; first pause before a failed task is tried again; doubles
 START_BACKOFF_MAX_S: Final = 60.0  # s; cap of that pause
 HOST_ERRORS_SUSPECT: Final = 2  # distinct jobs failing on a machine before it is held faulty
@@ -76,7 +77,7 @@
 PEER_SOCKETS: Final = 16  # sockets; for connections from the other controllers
 
 # --- placement --------------------------------------------------------------------------------------
-TICK_S: Final = 0.1  # s; least time between two rounds of placing
+TICK_S: Final = 0.03  # s; least time between two rounds of placing
 ROUND_BUDGET_S: Final = 0.03  # s; time a round of placing may take; the next one goes on from there
 SAMPLE: Final = 24  # machines looked at per task; best fit among these
 FETCH_WEIGHT: Final = 4.0  # score; a missing image against the whole of a machine left over
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -301,6 +301,7 @@
         now = trio.current_time()
         for host in ledger.sweep(now):
             log.info("%s is silent past its lease: its work is lost", host.name)
+        ledger.drain(now)
         ledger.wake_placing = False
         if not self.placer.round(ledger, now, trio.current_time, C.ROUND_BUDGET_S):
             self._wake.set()
--- /dev/null
+++ b/sorrelsill/standins/network.py
@@ -0,0 +1,102 @@
+"""A network of request and answer, with cuts that hold packets and deliver them late."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from sorrelsill.http import Client, NoAnswer, NotSent, Reply, Request
+
+Handler = Callable[[str, Request], Awaitable[Reply]]
+
+
+@dataclass(eq=False)
+class _Held:
+    """A request caught by a cut: delivered when the cut ends, whether or not anybody still waits."""
+
+    src: str
+    dst: str
+    request: Request
+    answer: trio.MemorySendChannel[Reply]
+
+
+class FakeNet:
+    """Addresses are names. `down` refuses connections; a cut holds what is sent and hangs what connects."""
+
+    def __init__(self, nursery: trio.Nursery, latency: float = 0.002) -> None:
+        self._nursery = nursery
+        self.latency = latency
+        self.handlers: dict[str, Handler] = {}
+        self.down: set[str] = set()
+        self._cuts: set[tuple[str, str]] = set()
+        self._held: list[_Held] = []
+        self.drop_answers: Callable[[str, str, Request], bool] = lambda src, dst, request: False
+        self.hold_request: Callable[[str, str, Request], bool] = lambda src, dst, request: False
+
+    def cut(self, a: str, b: str, both: bool = True) -> None:
+        self._cuts.add((a, b))
+        if both:
+            self._cuts.add((b, a))
+
+    def heal(self) -> None:
+        """End all cuts; what they held is delivered now, in order."""
+        self._cuts.clear()
+        self.release()
+
+    def release(self) -> None:
+        held, self._held = self._held, []
+        for item in held:
+            self._nursery.start_soon(self._deliver, item)
+
+    def is_cut(self, src: str, dst: str) -> bool:
+        return (src, dst) in self._cuts
+
+    def client(self, src: str) -> Callable[[str], Client]:
+        return lambda dst: _FakeClient(self, src, dst)
+
+    async def _deliver(self, item: _Held) -> None:
+        handler = self.handlers.get(item.dst)
+        if handler is None or item.dst in self.down:
+            item.answer.close()
+            return
+        reply = await handler(item.src, item.request)
+        if self.drop_answers(item.src, item.dst, item.request) or self.is_cut(item.dst, item.src):
+            return
+        try:
+            item.answer.send_nowait(reply)
+        except (trio.BrokenResourceError, trio.WouldBlock):
+            pass
+
+    async def send(self, src: str, dst: str, request: Request, timeout: float) -> Reply:
+        if dst in self.down or dst not in self.handlers:
+            await trio.sleep(self.latency)
+            raise NotSent(f"{dst} refuses")
+        sender, receiver = trio.open_memory_channel[Reply](1)
+        item = _Held(src, dst, request, sender)
+        with trio.move_on_after(timeout):
+            await trio.sleep(self.latency)
+            if self.is_cut(src, dst) or self.hold_request(src, dst, request):
+                self._held.append(item)
+            else:
+                self._nursery.start_soon(self._deliver, item)
+            try:
+                return await receiver.receive()
+            except trio.EndOfChannel:
+                raise NoAnswer(f"{dst} closed") from None
+        receiver.close()
+        raise NoAnswer(f"{dst} does not answer")
+
+
+class _FakeClient(Client):
+    """The real client's interface on the fake network."""
+
+    def __init__(self, net: FakeNet, src: str, dst: str) -> None:
+        super().__init__(dst)
+        self._net, self._src = net, src
+
+    async def request(self, method: str, target: str, body: bytes = b"", timeout: float = 1.5) -> tuple[int, bytes]:
+        path, _, query = target.partition("?")
+        reply = await self._net.send(self._src, self.addr, Request(method, path, query, body), timeout)
+        return reply.status, reply.body
--- /dev/null
+++ b/sorrelsill/standins/store.py
@@ -0,0 +1,142 @@
+"""The state service after the protocol page: revisions, conditions, leases that stand still in an outage."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from sorrelsill.http import Reply, Request
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+
+
+class FakeStore:
+    def __init__(self, txn_ops: int = 16, value_kb: float = 32.0) -> None:
+        self.kv: dict[str, tuple[Any, int, int | None]] = {}
+        self.rev = 0
+        self.log: list[tuple[int, str, Any, bool]] = []
+        self.leases: dict[int, tuple[float, float]] = {}  # id -> ttl, end
+        self._next_lease = 1
+        self.outage = False
+        self.refused: set[str] = set()  # controllers that alone receive 503
+        self.txn_ops, self.value_kb = txn_ops, value_kb
+        self.requests: list[tuple[float, str, Request]] = []
+        self._changed = trio.Event()
+
+    def begin_outage(self) -> None:
+        self.outage = True
+
+    def end_outage(self) -> None:
+        self.outage = False
+        now = trio.current_time()
+        self.leases = {i: (ttl, now + ttl) for i, (ttl, _) in self.leases.items()}
+
+    def expire(self) -> None:
+        if self.outage:
+            return
+        now = trio.current_time()
+        for lease in [i for i, (_, end) in self.leases.items() if now > end]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        gone = [k for k, (_, _, held) in self.kv.items() if held == lease]
+        if gone:
+            self.rev += 1
+            for key in gone:
+                del self.kv[key]
+                self.log.append((self.rev, key, None, False))
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def run(self) -> None:
+        while True:
+            self.expire()
+            await trio.sleep(0.05)
+
+    async def handle(self, src: str, request: Request) -> Reply:
+        self.requests.append((trio.current_time(), src, request))
+        path = request.path
+        query = {k: v[0] for k, v in parse_qs(request.query).items()}
+        if path == "/follow":
+            return await self._follow(src, query)
+        if self.outage or src in self.refused:
+            return Reply(503, _encode({"error": "trouble"}))
+        self.expire()
+        body = _decode(request.body) if request.body else {}
+        if path == "/kv":
+            return self._list(query)
+        if path.startswith("/kv/"):
+            found = self.kv.get(path[4:])
+            if found is None:
+                return Reply(404, _encode({"storeRev": self.rev}))
+            return Reply(200, _encode({"k": path[4:], "value": found[0], "keyRev": found[1], "tenancy": found[2]}))
+        if path == "/multi":
+            return self._multi(body)
+        if path == "/grants":
+            lease, self._next_lease = self._next_lease, self._next_lease + 1
+            ttl = body["ttlMs"] / 1000
+            self.leases[lease] = (ttl, trio.current_time() + ttl)
+            return Reply(200, _encode({"tenancy": lease}))
+        lease = int(path.split("/")[2])
+        if lease not in self.leases:
+            return Reply(404)
+        if request.method == "DELETE":
+            self._end_lease(lease)
+        else:
+            ttl = self.leases[lease][0]
+            self.leases[lease] = (ttl, trio.current_time() + ttl)
+        return Reply(200)
+
+    def _list(self, query: dict[str, str]) -> Reply:
+        keys = sorted(k for k in self.kv if k.startswith(query["starts"]) and k > query.get("from", ""))
+        page = min(1000, int(query.get("page", 1000)))
+        pairs = [{"k": k, "value": self.kv[k][0], "keyRev": self.kv[k][1]} for k in keys[:page]]
+        return Reply(200, _encode({"pairs": pairs, "hasNext": len(keys) > page, "storeRev": self.rev}))
+
+    def _multi(self, body: dict[str, Any]) -> Reply:
+        writes = body["writes"]
+        assert len(writes) <= self.txn_ops and len(body["if"]) <= 4 * self.txn_ops, "transaction too large"
+        assert len(msgspec.json.encode(body)) <= 64 * 1024, "transaction too long"
+        for write in writes:
+            assert len(msgspec.json.encode(write.get("value"))) <= self.value_kb * 1024, "value too long"
+            if write.get("tenancy") is not None and write["tenancy"] not in self.leases:
+                return Reply(400, _encode({"error": "no such lease"}))
+        failed = [c["k"] for c in body["if"] if (self.kv[c["k"]][1] if c["k"] in self.kv else 0) != c["keyRev"]]
+        if failed:
+            return Reply(409, _encode({"failed": failed, "storeRev": self.rev}))
+        if writes:
+            self.rev += 1
+        for write in writes:
+            if "set" in write:
+                self.kv[write["set"]] = (write["value"], self.rev, write.get("tenancy"))
+                self.log.append((self.rev, write["set"], write["value"], True))
+            elif self.kv.pop(write["remove"], None) is not None:
+                self.log.append((self.rev, write["remove"], None, False))
+        self._notify()
+        return Reply(200, _encode({"storeRev": self.rev}))
+
+    async def _follow(self, src: str, query: dict[str, str]) -> Reply:
+        since, prefix = int(query["from"]), query["starts"]
+        end = trio.current_time() + int(query.get("holdMs", 0)) / 1000
+        if (self.outage or src in self.refused) and int(query.get("holdMs", 0)) == 0:
+            return Reply(503)
+        while True:
+            changed = self._changed
+            hidden = self.outage or src in self.refused
+            news = [e for e in self.log if e[0] > since and e[1].startswith(prefix)]
+            if not hidden and (news or trio.current_time() >= end):
+                out = [
+                    {"set": k, "value": v, "keyRev": r} if present else {"remove": k, "keyRev": r}
+                    for r, k, v, present in news
+                ]
+                return Reply(200, _encode({"storeRev": self.rev, "news": out}))
+            with trio.move_on_after(max(0.05, min(0.5, end - trio.current_time()))):
+                await changed.wait()
--- /dev/null
+++ b/sorrelsill/standins/worker.py
@@ -0,0 +1,188 @@
+"""A worker after the protocol page: reports, tokens, leases and sessions, start, halt and clear."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from sorrelsill.http import Client, NoAnswer, NotSent, Reply, Request
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+
+
+class FakeWorker:
+    """`hear` is told of each task that begins or ends to be on the machine, for the checks of the rules."""
+
+    def __init__(
+        self, name: str, flavour: str, zone: str, spot: bool, nodes: dict[str, str], client: Callable[[str], Client],
+        report_s: float, lease_s: float, specs: dict[str, dict[str, Any]],
+        hear: Callable[[FakeWorker, str, bool], None],
+    ) -> None:  # fmt: skip
+        self.name, self.flavour, self.zone, self.spot = name, flavour, zone, spot
+        self._nodes = nodes  # label -> address
+        self._clients = {label: client(addr) for label, addr in nodes.items()}
+        self._at = sorted(nodes)[0]
+        self.report_s, self.lease_s = report_s, lease_s
+        self._specs, self._hear = specs, hear
+        self.tenure, self.serial, self.epoch = 1, 0, 0
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.on: set[str] = set()  # tasks on the machine: with their image, not ended
+        self.answered = trio.current_time()
+        self.hung = False
+        self.dead = False
+        self.evict: float | None = None
+        self.on_done: Callable[[str], None] = lambda shard: None
+        self.fail: Callable[[str], bool] = lambda shard: False
+        self._change = trio.Event()
+
+    # --- its tasks ---
+
+    def _put(self, shard: str, on: bool) -> None:
+        if on != (shard in self.on):
+            (self.on.add if on else self.on.discard)(shard)
+            self._hear(self, shard, on)
+
+    def _changed(self) -> None:
+        self._change.set()
+        self._change = trio.Event()
+
+    def _spec(self, shard: str) -> dict[str, Any]:
+        return self._specs[shard.rpartition("/")[0]]
+
+    def advance(self) -> None:
+        """Let time pass for the tasks and for the lease."""
+        now = trio.current_time()
+        if now - self.answered > self.lease_s:
+            for shard in list(self.on):
+                self._put(shard, False)
+            self.tasks.clear()
+            self.tenure += 1
+            self.answered = now
+            self._changed()
+        for (shard, _), task in self.tasks.items():
+            spec = self._spec(shard)
+            if task["phase"] == "pulling" and now >= task["at"] + spec["sizeGb"]:
+                task.update(phase="running", at=now)
+                self._put(shard, True)
+                self._changed()
+            if task["phase"] == "running" and self.fail(shard):
+                self._exit(shard, task, "error")
+            elif (
+                task["phase"] == "running" and spec["shape"] != "standing" and now >= task["at"] + spec["expectedRunS"]
+            ):
+                self._exit(shard, task, "done")
+            elif task["phase"] == "saving" and now >= task["at"] + spec["snapshotCostS"]:
+                task["saved"] = True
+                self._exit(shard, task, "halted")
+
+    def _exit(self, shard: str, task: dict[str, Any], why: str) -> None:
+        task.update(phase="exited", exitCause=why)
+        self._put(shard, False)
+        if why == "done":
+            self.on_done(shard)
+        self._changed()
+
+    def _order(self, order: dict[str, Any]) -> None:
+        key = (order["shard"], order["tryNo"])
+        task = self.tasks.get(key)
+        if order["verb"] == "start" and task is None:
+            same = [t for (s, _), t in self.tasks.items() if s == key[0] and t["phase"] != "exited"]
+            if same:
+                self.tasks[key] = {"phase": "exited", "exitCause": "busy"}
+            else:
+                self.tasks[key] = {"phase": "pulling", "at": trio.current_time()}
+            self._changed()
+        elif order["verb"] == "halt" and task is not None and task["phase"] != "exited":
+            spec = self._spec(key[0])
+            saves = spec["snapshotEveryS"] > 0 and order["windDownS"] >= spec["snapshotCostS"]
+            if task["phase"] == "running" and saves:
+                task.update(phase="saving", at=trio.current_time())
+            elif task["phase"] != "saving" or order["windDownS"] == 0:
+                self._exit(key[0], task, "halted")
+        elif order["verb"] == "clear" and task is not None and task["phase"] == "exited":
+            del self.tasks[key]
+
+    # --- its messages ---
+
+    def report(self) -> dict[str, Any]:
+        self.serial += 1
+        shards = [
+            {"shard": s, "tryNo": n, **{k: v for k, v in t.items() if k != "at"}} for (s, n), t in self.tasks.items()
+        ]
+        evict = None if self.evict is None else max(0.0, self.evict - trio.current_time())
+        return {
+            "host": self.name, "addr": self.name, "flavour": self.flavour, "region": self.zone,
+            "reclaimable": self.spot, "tenure": self.tenure, "serial": self.serial, "epoch": self.epoch,
+            "evictInS": evict, "shards": shards,
+        }  # fmt: skip
+
+    async def handle(self, src: str, request: Request) -> Reply:
+        while self.hung:
+            await trio.sleep(0.1)
+        if self.dead:
+            await trio.sleep_forever()
+        self.advance()
+        if request.path == "/status":
+            return Reply(200, _encode(self.report()))
+        body = _decode(request.body)
+        if "epoch" not in body or "tenure" not in body:
+            return Reply(400)
+        if body["epoch"] < self.epoch or body["tenure"] != self.tenure:
+            return Reply(409, _encode(self.report()))
+        self._see(body["epoch"])
+        for order in body["orders"]:
+            self._order(order)
+        self.advance()
+        return Reply(200, _encode(self.report()))
+
+    def _see(self, epoch: int) -> None:
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._changed()
+
+    async def run(self) -> None:
+        while not self.dead:
+            sent = trio.current_time()
+            tenure = self.tenure
+            if not self.hung:
+                await self._report(sent, tenure)
+            change = self._change
+            with trio.move_on_at(max(sent + self.report_s, trio.current_time() + 0.01)):
+                await change.wait()
+                await trio.sleep_until(sent + 0.5)
+
+    async def _report(self, sent: float, tenure: int) -> None:
+        try:
+            status, raw = await self._clients[self._at].request("POST", "/hello", _encode(self.report()), 4.0)
+        except (NotSent, NoAnswer):
+            await self._next()
+            return
+        if self.dead or self.hung:
+            return
+        answer = _decode(raw) if raw else {}
+        if status == 421 and answer.get("upstream") in self._nodes and answer["upstream"] != self._at:
+            self._at = answer["upstream"]
+            self._changed()
+        elif status != 200:
+            await self._next()
+        elif tenure == self.tenure and answer.get("epoch", -1) >= self.epoch:
+            self._see(answer["epoch"])
+            self.answered = max(self.answered, sent)
+            for order in answer["orders"]:
+                self._order(order)
+            self.advance()
+
+    async def _next(self) -> None:
+        await trio.sleep(1.0)
+        labels = sorted(self._nodes)
+        self._at = labels[(labels.index(self._at) + 1) % len(labels)]
+
+    async def live(self) -> None:
+        while not self.dead:
+            if not self.hung:
+                self.advance()
+            await trio.sleep(0.1)
--- /dev/null
+++ b/sorrelsill/standins/world.py
@@ -0,0 +1,280 @@
+"""A whole small deployment: three controllers, store, cloud, workers, users; and the rules, checked as it goes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import trio
+import trio.testing
+
+from sorrelsill.http import NoAnswer, NotSent, Reply, Request
+from sorrelsill.node import Node
+from sorrelsill.settings import (
+    CloudLimits,
+    Facts,
+    Member,
+    Operator,
+    Services,
+    Settings,
+    StateLimits,
+    Team,
+    Workers,
+)
+from sorrelsill.standins.cloud import FakeCloud
+from sorrelsill.standins.network import FakeNet
+from sorrelsill.standins.store import FakeStore
+from sorrelsill.standins.worker import FakeWorker
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+
+LABELS = ("n0", "n1", "n2")
+REPORT_S, LEASE_S, CANCEL_S = 1.0, 11.0, 30.0
+
+
+def job(name: str, **fields: Any) -> dict[str, Any]:
+    """A job as a user submits it."""
+    base = {
+        "uid": name, "workload": "w", "owner": "red", "shape": "sweep", "rank": "standard", "shards": 2, "vcpus": 2.0,
+        "gpus": 0.0, "memoryGb": 4.0, "bundle": "img", "sizeGb": 0.5, "flavours": None, "region": None,
+        "oneZone": False, "scatter": False, "reclaimable": False, "expectedRunS": 5.0, "snapshotEveryS": 0.0,
+        "snapshotCostS": 0.0, "dueS": None,
+    }  # fmt: skip
+    return {**base, **fields}
+
+
+class World:
+    def __init__(self, nursery: trio.Nursery, seed: int, teams: list[Team], txn_ops: int = 16) -> None:
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.net = FakeNet(nursery)
+        self.store = FakeStore(txn_ops=txn_ops)
+        self.cloud = FakeCloud(self._boot)
+        self.cloud.on_return = self.kill_machine
+        self.teams = teams
+        self.nodes: dict[str, Node] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self.workers: dict[str, FakeWorker] = {}
+        self.specs: dict[str, dict[str, Any]] = {}
+        self.accepted: set[str] = set()
+        self.over: dict[str, str] = {}  # what users were told: uid -> done or cancelled
+        self.cancelled_at: dict[str, float] = {}
+        self.starts: list[tuple[float, str, str]] = []  # time, task, machine
+        self.finished: set[str] = set()
+        self.broken: list[str] = []
+        self.net.handlers["store"] = self.store.handle
+        self.net.handlers["cloud"] = self.cloud.handle
+        nursery.start_soon(self.store.run)
+        nursery.start_soon(self.cloud.run)
+        nursery.start_soon(self._watch)
+        for label in LABELS:
+            self.start(label)
+
+    # --- controllers ---
+
+    def start(self, label: str) -> Node:
+        members = [Member(o, f"{o}:peer") for o in LABELS if o != label]
+        facts = Facts(
+            workers=Workers(REPORT_S, LEASE_S, CANCEL_S),
+            state=StateLimits(500.0, 200.0, self.store.value_kb, self.store.txn_ops),
+            cloud=CloudLimits(5.0, 2.0),
+            nodes=len(LABELS),
+            teams=self.teams,
+        )
+        settings = Settings(label, label, Services("cloud", "store"), facts, members=members)
+        node = Node(
+            settings, Operator(), random.Random(self.rng.random()), self.net.client(label), lambda: trio.current_time()
+        )
+
+        async def users(src: str, request: Request) -> Reply:
+            return await node.handle(request)
+
+        async def peers(src: str, request: Request) -> Reply:
+            return await node.handle_peer(request)
+
+        self.nodes[label] = node
+        self.net.handlers[label], self.net.handlers[f"{label}:peer"] = users, peers
+        self.net.down -= {label, f"{label}:peer"}
+        scope = self._scopes[label] = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await node.run()
+
+        self.nursery.start_soon(run)
+        return node
+
+    def kill(self, label: str) -> None:
+        """Without a signal: from one moment to the next."""
+        self._scopes[label].cancel()
+        self.net.down |= {label, f"{label}:peer"}
+
+    def leader(self) -> str | None:
+        leading = [n for n, node in self.nodes.items() if n not in self.net.down and node.elector.valid()]
+        return leading[0] if leading else None
+
+    async def until_leader(self, limit: float = 30.0) -> str:
+        await self.until(lambda: self.leader() is not None, limit)
+        label = self.leader()
+        assert label is not None
+        return label
+
+    # --- machines ---
+
+    def _boot(self, name: str, flavour: str, zone: str, spot: bool) -> None:
+        worker = FakeWorker(
+            name, flavour, zone, spot, {label: label for label in LABELS}, self.net.client(name), REPORT_S, LEASE_S,
+            self.specs, self._hear,
+        )  # fmt: skip
+        worker.on_done = self.finished.add
+        self.workers[name] = worker
+        self.net.handlers[name] = worker.handle
+        self.nursery.start_soon(worker.run)
+        self.nursery.start_soon(worker.live)
+
+    def kill_machine(self, name: str) -> None:
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            worker.dead = True
+            for shard in list(worker.on):
+                worker._put(shard, False)
+            self.net.down.add(name)
+
+    def cut_machine(self, name: str) -> None:
+        for label in LABELS:
+            self.net.cut(name, label)
+
+    # --- the rules ---
+
+    def _hear(self, worker: FakeWorker, shard: str, on: bool) -> None:
+        uid = shard.rpartition("/")[0]
+        if not on:
+            return
+        now = trio.current_time()
+        self.starts.append((now, shard, worker.name))
+        others = [w for w in self.workers.values() if w is not worker and shard in w.on]
+        if others:
+            self.broken.append(f"ran_twice: {shard} on {worker.name} and {others[0].name} at {now:.1f}")
+        spec = self.specs[uid]
+        placed = [w.zone for w in self.workers.values() for s in w.on if s.startswith(uid + "/")]
+        if spec["region"] not in (None, worker.zone) or (worker.spot and not spec["reclaimable"]):
+            self.broken.append(f"wrong_place: {shard} on {worker.name}")
+        if spec["oneZone"] and len(set(placed)) > 1:
+            self.broken.append(f"wrong_place: {shard} in a second zone")
+        if spec["scatter"] and placed.count(worker.zone) > (spec["shards"] + 1) // 2:
+            self.broken.append(f"wrong_place: too much of {uid} in zone {worker.zone}")
+        for team in self.teams:
+            used = sum(
+                self.specs[s.rpartition("/")[0]]["vcpus"] for w in self.workers.values() for s in w.on
+                if self.specs[s.rpartition("/")[0]]["owner"] == team.name
+            )  # fmt: skip
+            if team.cpus_max and used > team.cpus_max + 1e-6:
+                self.broken.append(f"quota: {team.name} uses {used}")
+
+    async def _watch(self) -> None:
+        while True:
+            now = trio.current_time()
+            for worker in self.workers.values():
+                for shard in worker.on:
+                    at = self.cancelled_at.get(shard.rpartition("/")[0])
+                    if at is not None and now - at > CANCEL_S:
+                        self.broken.append(f"ran_cancelled: {shard} on {worker.name}")
+            await trio.sleep(0.25)
+
+    # --- users ---
+
+    async def ask(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """One request of a user to one controller; 0 for no answer."""
+        raw = body if isinstance(body, bytes) else _encode(body) if body is not None else b""
+        try:
+            reply = await self.net.send("user", label, Request(method, path, "", raw), 5.0)
+        except (NotSent, NoAnswer):
+            return 0, {}
+        answer = _decode(reply.body) if reply.body else {}
+        self._check_answer(path, reply.status, answer)
+        return reply.status, answer
+
+    def _check_answer(self, path: str, status: int, answer: Any) -> None:
+        uid = path.split("/")[3] if path.count("/") >= 3 else answer.get("uid") if isinstance(answer, dict) else None
+        if uid is None:
+            return
+        if status == 404 and uid in self.accepted:
+            self.broken.append(f"forgotten: {uid}")
+        if status not in (200, 201) or "phase" not in answer:
+            return
+        if uid not in self.specs:
+            self.broken.append(f"invented: {uid}")
+        self.accepted.add(uid)
+        phase = answer["phase"]
+        if uid in self.over and phase != self.over[uid]:
+            self.broken.append(f"went_back: {uid} from {self.over[uid]} to {phase}")
+        if phase in ("done", "cancelled"):
+            self.over[uid] = phase
+            if phase == "cancelled":
+                self.cancelled_at.setdefault(uid, trio.current_time())
+            missing = [i for i in range(self.specs[uid]["shards"]) if f"{uid}/{i}" not in self.finished]
+            if phase == "done" and len(missing) > 0:
+                self.broken.append(f"not_done: {uid} lacks {missing[:5]}")
+
+    async def _retry(self, method: str, path: str, body: Any, limit: float) -> tuple[int, Any]:
+        end = trio.current_time() + limit
+        turn = 0
+        while True:
+            status, answer = await self.ask(LABELS[turn % 3], method, path, body)
+            if status in (200, 201, 400, 404, 422) or trio.current_time() > end:
+                return status, answer
+            turn += 1
+            await trio.sleep(1.0)
+
+    async def submit(self, spec: dict[str, Any], limit: float = 60.0) -> int:
+        self.specs[spec["uid"]] = spec
+        return (await self._retry("POST", "/v2/runs", spec, limit))[0]
+
+    async def cancel(self, uid: str, limit: float = 60.0) -> Any:
+        return (await self._retry("POST", f"/v2/runs/{uid}/cancel", None, limit))[1]
+
+    async def poll(self, uid: str, label: str | None = None) -> tuple[int, Any]:
+        if label is not None:
+            return await self.ask(label, "GET", f"/v2/runs/{uid}")
+        return await self._retry("GET", f"/v2/runs/{uid}", None, 60.0)
+
+    async def until_phase(self, uid: str, phase: str, limit: float = 120.0) -> None:
+        end = trio.current_time() + limit
+        answer: Any = None
+        while trio.current_time() < end:
+            _, answer = await self.poll(uid)
+            if answer.get("phase") == phase:
+                return
+            await trio.sleep(0.5)
+        raise AssertionError(f"{uid} is {answer}, not {phase}, after {limit} s")
+
+    async def until(self, true: Callable[[], bool], limit: float = 60.0) -> None:
+        end = trio.current_time() + limit
+        while not true():
+            assert trio.current_time() < end, "did not come about in time"
+            await trio.sleep(0.05)
+
+    def running(self, uid: str) -> list[tuple[str, str]]:
+        """Tasks of a job on machines now."""
+        return [(s, w.name) for w in self.workers.values() for s in sorted(w.on) if s.startswith(uid + "/")]
+
+
+def story(
+    tell: Callable[[World], Awaitable[None]], seed: int = 1, teams: list[Team] | None = None, txn_ops: int = 16
+) -> World:
+    """Run a story on a virtual clock, and check at its end that no rule was broken on the way."""
+    worlds: list[World] = []
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, seed, teams or [Team("red"), Team("blue")], txn_ops)
+            worlds.append(world)
+            await tell(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not worlds[0].broken, worlds[0].broken
+    return worlds[0]
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -388,6 +388,18 @@
             self.wake_placing = True
         return lost
 
+    def drain(self, now: float) -> None:
+        """Let work on machines that are about to be taken save itself, as late as is safe."""
+        for host in self.hosts.values():
+            if host.evict_at is None or host.lost:
+                continue
+            for attempt in host.attempts.values():
+                spec = attempt.spec
+                if spec is None or attempt.stop or attempt.phase != "running" or spec.snapshot_s <= 0:
+                    continue
+                if now >= host.evict_at - spec.snapshot_cost_s - C.DRAIN_AHEAD_S:
+                    self.stop(attempt, "machine is taken back")
+
     # --- reports ---
 
     def on_report(
