--- a/sorrelsill/standins/store.py
+++ b/sorrelsill/standins/store.py
@@ -105,6 +105,8 @@
         writes = body["writes"]
         assert len(writes) <= self.txn_ops and len(body["if"]) <= 4 * self.txn_ops, "transaction too large"
         assert len(msgspec.json.encode(body)) <= 64 * 1024, "transaction too long"
+        leaders_own = [w for w in writes if str(w.get("set") or w.get("remove")).startswith(("s/m/", "s/catalog"))]
+        assert not leaders_own or "s/leader" in [c["k"] for c in body["if"]], "a leader's write without its condition"
         for write in writes:
             assert len(msgspec.json.encode(write.get("value"))) <= self.value_kb * 1024, "value too long"
             if write.get("tenancy") is not None and write["tenancy"] not in self.leases:
--- a/sorrelsill/standins/world.py
+++ b/sorrelsill/standins/world.py
@@ -155,6 +155,8 @@
             return
         now = trio.current_time()
         self.starts.append((now, shard, worker.name))
+        if now - self.cancelled_at.get(uid, now) > CANCEL_S:
+            self.broken.append(f"ran_cancelled: {shard} starts on {worker.name}")
         others = [w for w in self.workers.values() if w is not worker and shard in w.on]
         if others:
             self.broken.append(f"ran_twice: {shard} on {worker.name} and {others[0].name} at {now:.1f}")
