--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -212,7 +212,6 @@
         self.refused = {o: t for o, t in self.refused.items() if t > now}
 
     def _choose_returns(self, now: float) -> None:
-        idle = C.IDLE_RETURN_HURRIED_S if self._hurried else C.IDLE_RETURN_S
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
                 continue
@@ -224,7 +223,7 @@
                 continue
             if host.faulty:
                 self._start_return(host, "faulty")
-            elif now - max(host.idle_since, self._ledger.started) > idle:
+            elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
                 self._start_return(host, "idle")
         for name, pending in self.pending.items():
             up = self._running_since.get(name)
@@ -233,6 +232,13 @@
             elif up is not None and now - up > 2 * C.SILENT_RETURN_S:
                 self._give_back.setdefault(name, "up but silent")
 
+    def _patience(self, host: Host) -> float:
+        """How long a machine may idle: it is paid for its first minute anyway."""
+        if self._hurried:
+            return C.IDLE_RETURN_HURRIED_S
+        kind = self._ledger.catalog.flavours.get(host.flavour)
+        return C.IDLE_OF_BOOT * (kind.boot_s if kind is not None else C.MIN_CHARGE_S)
+
     def _start_return(self, host: Host, why: str) -> None:
         host.returning = True
         self._give_back[host.name] = why
