--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -85,6 +85,7 @@
 ZONE_WEIGHT: Final = 1.0  # score; evenness of a job over the zones against a machine left over
 PREEMPT_PER_ROUND: Final = 8  # tasks; room is made for this many of a job per round
 PREEMPT_BASE_S: Final = 5.0  # s; what a stop costs besides the lost run time: fetching and starting again
+WARM_CLAIM_S: Final = 1.0  # s; the same on machines that hold the image; then any machine will do
 CLAIM_S: Final = 5.0  # s; room that was made is awaited this long before more is made
 
 # --- fleet ------------------------------------------------------------------------------------------
@@ -102,6 +103,9 @@
 SILENT_RETURN_S: Final = 30.0  # s; a machine whose work is lost and that stays silent goes back after this
 RENT_TRIES: Final = 4  # tries; of one rental request before it is planned anew
 DEADLINE_USE: Final = 0.7  # ratio; of the time to a deadline that is planned for, as estimates are often wrong
+ESTIMATE_SLACK: Final = 1.3  # ratio; estimates of run times are often wrong by half
+PATIENCE_S: Final = 8.0  # s; on top of boot, fetch and run time before an ordinary machine is rented for work
+#                          that may use spot machines, which cost less than half
 FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
 USE_LOG_S: Final = 10.0  # s; between two notes of the fleet's use in the debug log
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -18,6 +18,7 @@
 from sorrelsill.store.budget import Bucket
 
 if TYPE_CHECKING:
+    from sorrelsill.jobs import Spec
     from sorrelsill.placement import Unplaced
     from sorrelsill.workers import Host, Ledger
 
@@ -283,6 +284,7 @@
             if spec.due_s is not None and not spec.endless:
                 count = min(count, self._enough(item, now))
             if count > 0:
+                patient = spec.spot and not self._hurried and self._can_wait(item, now)
                 out.append(
                     Need(
                         count,
@@ -294,17 +296,31 @@
                         spec.spot,
                         spec.zone_limit if spec.scatter else None,
                         dict(job.zones),
+                        patient,
                     )  # fmt: skip
                 )
         return out
 
+    def _can_wait(self, item: Unplaced, now: float) -> bool:
+        """Whether a task started on a machine that is rented later can still be in time."""
+        spec = item.job.spec
+        if spec.due_s is None:
+            return False
+        boot, pull = self._lead_time(spec)
+        need = boot + pull + spec.expected_s * C.ESTIMATE_SLACK + C.PATIENCE_S
+        return item.job.submitted + spec.due_s - now > need
+
+    def _lead_time(self, spec: Spec) -> tuple[float, float]:
+        """Boot and fetch of the quickest machine type that fits."""
+        kinds = [f for f in self._ledger.catalog.flavours.values() if f.fits(spec.cpus, spec.gpus, spec.memory)]
+        boot = min((f.boot_s for f in kinds), default=0.0)
+        return boot, max((spec.bundle_gb / f.pull_rate for f in kinds), default=0.0)
+
     def _enough(self, item: Unplaced, now: float) -> int:
         """How many more tasks at once meet the deadline: machines beyond that cost without use."""
         job, spec = item.job, item.job.spec
         assert spec.due_s is not None
-        kinds = [f for f in self._ledger.catalog.flavours.values() if f.fits(spec.cpus, spec.gpus, spec.memory)]
-        boot = min((f.boot_s for f in kinds), default=0.0)
-        pull = max((spec.bundle_gb / f.pull_rate for f in kinds), default=0.0)
+        boot, pull = self._lead_time(spec)
         left = (job.submitted + spec.due_s - now) * C.DEADLINE_USE - boot - pull
         waves = max(1, int(left / max(1.0, spec.expected_s)))
         tasks = spec.shards - job.done.count
--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -35,6 +35,7 @@
     spot: bool
     per_zone: int | None  # most tasks of these that may go to one zone
     zones: dict[str, int] = field(default_factory=dict)
+    patient: bool = False  # time is left to wait for spot machines: no ordinary one is rented for it yet
 
 
 @dataclass(slots=True)
@@ -125,6 +126,8 @@
                 continue
             for spot in (True, False):
                 offer = (kind.sku, zone, spot)
+                if need.patient and not spot:
+                    continue
                 if not _allows(need, offer) or refused.get(offer, 0.0) > now:
                     continue
                 # Whole machines only pay off if they are filled, so a small need looks for a small machine.
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -29,10 +29,13 @@
 class Placer:
     def __init__(self, teams: list[Team], objectives: list[Objective], rng: random.Random, sample: int) -> None:
         self._within: dict[str, list[float]] = {}  # class -> seconds after submission that its aims name
+        self._start_within: dict[str, float] = {}  # class -> seconds within which its tasks should start
         self._times: dict[str, list[float]] = {}  # class -> multiples of the deadline that its aims name
         for aim in objectives:
             if aim.workload and aim.kind == "finished" and aim.within_s:
                 self._within.setdefault(aim.workload, []).append(aim.within_s)
+            if aim.workload and aim.kind == "wait" and aim.within_s:
+                self._start_within[aim.workload] = aim.within_s
             if aim.workload and aim.kind == "deadline":
                 self._times.setdefault(aim.workload, []).append(aim.times or 1.0)
         self._teams = {t.name: t for t in teams}
@@ -149,9 +152,12 @@
                 if plain:
                     full.add(sign)
                 break
+            if self._slow_start(ledger, job, host) and self._await_warm(ledger, job, hosts, now):
+                break
             ledger.bind(job, index, host, now)
         if job.waiting > 0:
-            self.unplaced[spec.uid] = Unplaced(job, job.waiting, limited)
+            claimed = sum(1 for (uid, _), until in self._claims.items() if uid == spec.uid and until > now)
+            self.unplaced[spec.uid] = Unplaced(job, max(0, job.waiting - claimed), limited)
             if not limited:
                 job.note("waiting: no room on the machines it may use")
                 self._make_room(ledger, job, hosts, now)
@@ -206,6 +212,20 @@
             score += C.ORDINARY_WEIGHT
         return score + C.ZONE_WEIGHT * job.zones.get(host.zone, 0) / spec.shards
 
+    def _slow_start(self, ledger: Ledger, job: Job, host: Host) -> bool:
+        """Whether fetching the image on this machine alone makes the start too late for its class's aim."""
+        within = self._start_within.get(job.spec.workload)
+        kind = ledger.catalog.flavours.get(host.flavour)
+        if within is None or kind is None or job.spec.bundle in host.images or job.spec.rank != _PROD:
+            return False
+        return fetch_exceeds(job.spec.bundle_gb, kind.pull_rate, within)
+
+    def _await_warm(self, ledger: Ledger, job: Job, hosts: list[Host], now: float) -> bool:
+        """Make room on machines that hold the image already; True while that room is awaited."""
+        warm = [h for h in hosts if job.spec.bundle in h.images]
+        self._make_room(ledger, job, warm, now, C.WARM_CLAIM_S)
+        return any(uid == job.spec.uid and until > now for (uid, _), until in self._claims.items())
+
     # --- preemption ---
 
     def _may_stop(self, ledger: Ledger, job: Job, attempt: Attempt) -> bool:
@@ -217,7 +237,7 @@
             return True
         return job.spec.uid in self.guaranteed and victim.team != job.spec.team and victim.uid not in self.guaranteed
 
-    def _make_room(self, ledger: Ledger, job: Job, hosts: list[Host], now: float) -> None:
+    def _make_room(self, ledger: Ledger, job: Job, hosts: list[Host], now: float, patience: float = C.CLAIM_S) -> None:
         """Stop the least work that lets waiting tasks in; their room is awaited before more is stopped."""
         spec = job.spec
         if spec.rank != _PROD and spec.uid not in self.guaranteed:
@@ -239,7 +259,7 @@
                 return
             for attempt in best[1]:
                 ledger.stop(attempt, f"making room for {spec.uid}")
-            self._claims[(spec.uid, -1 - claimed - number)] = now + C.CLAIM_S
+            self._claims[(spec.uid, -1 - claimed - number)] = now + patience
 
     def _victims(self, ledger: Ledger, job: Job, host: Host, now: float) -> tuple[float, list[Attempt]] | None:
         spec = job.spec
@@ -266,6 +286,10 @@
         return cost, chosen
 
 
+def fetch_exceeds(size_gb: float, rate: float, within: float) -> bool:
+    return size_gb / rate > within
+
+
 def lost_work(attempt: Attempt, now: float) -> float:
     """Seconds of work that stopping the attempt throws away."""
     if attempt.running_since is None or attempt.spec is None:
