--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import logging
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 from sorrelsill.jobs import ShardSet, Spec
 from sorrelsill.workers import messages as M
 
+log = logging.getLogger(__name__)
+
 _EPS = 1e-6
 
 
@@ -250,6 +253,10 @@
         """`try_no` is given for gangs, whose tasks find each other by a common attempt number."""
         attempt = Attempt(job.spec.uid, index, try_no or self.next_try(), host, job.spec, now)
         self._attach(attempt, job)
+        log.debug(
+            "bind %s to %s, %.2f s after submission, image %s",
+            attempt.shard, host.name, now - job.submitted, "there" if job.spec.bundle in host.images else "missing",
+        )  # fmt: skip
         return attempt
 
     def _attach(self, attempt: Attempt, job: Job | None) -> None:
@@ -466,6 +473,7 @@
             attempt.phase = item.phase
             if item.phase == "running" and attempt.running_since is None:
                 attempt.running_since = now
+                log.debug("runs %s on %s, %.2f s after it was bound", attempt.shard, host.name, now - attempt.created)
                 if attempt.spec is not None:
                     host.hold_image(attempt.spec.bundle, attempt.spec.bundle_gb)
                     self.dirty.add(uid)
