--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -79,7 +79,7 @@
 
     def __init__(
         self, cloud: Cloud, ledger: Ledger, valid: Callable[[], bool], demand: Callable[[], list[Unplaced]],
-        hurried: bool, lag_s: float,
+        hurried: bool, lag_s: float, prompt: set[str],
     ) -> None:  # fmt: skip
         self._cloud = cloud
         self._ledger = ledger
@@ -87,6 +87,7 @@
         self._demand = demand
         self._hurried = hurried
         self._lag = lag_s
+        self._prompt = prompt  # classes whose tasks should start within seconds
         self.pending: dict[str, Pending] = {}
         self.refused: dict[Offer, float] = {}
         self._refusals: dict[Offer, int] = {}
@@ -224,7 +225,7 @@
                 continue
             if host.faulty:
                 self._start_return(host, "faulty")
-            elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
+            elif now - max(host.idle_since, self._ledger.started) > self._patience(host) and not self._is_spare(host):
                 self._start_return(host, "idle")
         for name, pending in self.pending.items():
             up = self._running_since.get(name)
@@ -299,7 +300,49 @@
                         patient,
                     )  # fmt: skip
                 )
-        return out
+        return out + self._spare_needs()
+
+    def _spare_spec(self) -> Spec | None:
+        """The largest live service of a class whose tasks should start within seconds: room for one more of
+        it is kept ready, since a machine takes far longer to boot."""
+        jobs = [j.spec for j in self._ledger.jobs.values() if j.spec.endless and j.spec.workload in self._prompt]
+        return max(jobs, key=lambda s: (s.zone_limit * s.cpus, s.uid), default=None)
+
+    def _spare_room(self, spec: Spec) -> dict[str, int]:
+        """Tasks of this kind that could start at once, by zone: in free room or in place of lesser work."""
+        room: dict[str, int] = {z: 0 for z in self._ledger.catalog.zones if spec.zone in (None, z)}
+        for host in self._ledger.hosts.values():
+            if host.usable() and host.allows(spec):
+                room[host.zone] = room.get(host.zone, 0) + self._spare_on(host, spec)
+        for p in self.pending.values():
+            kind = self._ledger.catalog.flavours.get(p.flavour)
+            if kind is not None and not p.spot and (spec.flavours is None or p.flavour in spec.flavours):
+                room[p.zone] = room.get(p.zone, 0) + int(kind.cpus // max(spec.cpus, 0.1))
+        return room
+
+    @staticmethod
+    def _spare_on(host: Host, spec: Spec) -> int:
+        kept = [a.spec for a in host.attempts.values() if a.spec is not None and a.spec.rank <= spec.rank]
+        cpus = host.cap_cpus - sum(s.cpus for s in kept)
+        memory = host.cap_memory - sum(s.memory for s in kept)
+        return max(0, int(min(cpus / max(spec.cpus, 0.1), memory / max(spec.memory, 0.1)) + 1e-6))
+
+    def _spare_needs(self) -> list[Need]:
+        spec = self._spare_spec()
+        if spec is None:
+            return []
+        return [
+            Need(spec.zone_limit - have, spec.cpus, spec.gpus, spec.memory, spec.flavours, zone, False, None)
+            for zone, have in sorted(self._spare_room(spec).items())
+            if have < spec.zone_limit
+        ]
+
+    def _is_spare(self, host: Host) -> bool:
+        """Whether giving this machine back would leave too little room ready."""
+        spec = self._spare_spec()
+        if spec is None or host.faulty or not host.allows(spec):
+            return False
+        return self._spare_room(spec).get(host.zone, 0) - self._spare_on(host, spec) < spec.zone_limit
 
     def _can_wait(self, item: Unplaced, now: float) -> bool:
         """Whether a task started on a machine that is rented later can still be in time."""
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -87,6 +87,7 @@
         self.fleet = FleetManager(
             self.cloud, ledger, self.elector.valid, lambda: list(self.placer.unplaced.values()),
             self.settings.hurried, self.settings.facts.cloud.list_lag_s,
+            {o.workload for o in self.settings.facts.objectives if o.kind == "wait" and o.workload},
         )  # fmt: skip
         self.fleet.on_catalog = self._on_catalog
         self.placer.reset()
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +15,8 @@
 from sorrelsill.settings import Objective, Team
 from sorrelsill.workers import Attempt, Host, Job, Ledger
 
+log = logging.getLogger(__name__)
+
 _PROD = 0
 
 
@@ -42,7 +45,8 @@
         self._rng = rng
         self._sample = sample
         self._left: list[str] = []  # jobs that the last round did not get to
-        self._claims: dict[tuple[str, int], float] = {}  # task -> until when room made for it is awaited
+        self._claims: dict[str, list[float]] = {}  # job -> until when room made for one of its tasks is awaited
+        self._warm_until: dict[str, float] = {}  # job -> until when room on machines with its image is awaited
         self.unplaced: dict[str, Unplaced] = {}
         self.guaranteed: set[str] = set()
 
@@ -50,6 +54,7 @@
         """A new term begins."""
         self._left.clear()
         self._claims.clear()
+        self._warm_until.clear()
         self.unplaced.clear()
 
     # --- order and shares ---
@@ -111,7 +116,8 @@
             self.guaranteed = self._find_guaranteed(ledger)
             self._left = self._order(ledger, now)
             self.unplaced = {u: d for u, d in self.unplaced.items() if u in ledger.jobs}
-            self._claims = {k: t for k, t in self._claims.items() if t > now}
+            self._claims = {u: left for u, t in self._claims.items() if (left := [x for x in t if x > now])}
+            self._warm_until = {u: t for u, t in self._warm_until.items() if u in ledger.jobs}
         hosts = [h for h in ledger.hosts.values() if h.usable()]
         full: set[tuple[object, ...]] = set()
         while self._left:
@@ -155,8 +161,10 @@
             if self._slow_start(ledger, job, host) and self._await_warm(ledger, job, hosts, now):
                 break
             ledger.bind(job, index, host, now)
+            if self._claims.get(spec.uid):
+                self._claims[spec.uid].pop(0)
         if job.waiting > 0:
-            claimed = sum(1 for (uid, _), until in self._claims.items() if uid == spec.uid and until > now)
+            claimed = self._claimed(job, now)
             self.unplaced[spec.uid] = Unplaced(job, max(0, job.waiting - claimed), limited)
             if not limited:
                 job.note("waiting: no room on the machines it may use")
@@ -221,10 +229,17 @@
         return fetch_exceeds(job.spec.bundle_gb, kind.pull_rate, within)
 
     def _await_warm(self, ledger: Ledger, job: Job, hosts: list[Host], now: float) -> bool:
-        """Make room on machines that hold the image already; True while that room is awaited."""
-        warm = [h for h in hosts if job.spec.bundle in h.images]
-        self._make_room(ledger, job, warm, now, C.WARM_CLAIM_S)
-        return any(uid == job.spec.uid and until > now for (uid, _), until in self._claims.items())
+        """Make room on machines that hold the image already; True while that room is awaited. Only for that:
+        found on a measured day, room that had been freed elsewhere was refused again and again."""
+        uid = job.spec.uid
+        if uid not in self._warm_until:
+            warm = [h for h in hosts if job.spec.bundle in h.images]
+            made = self._make_room(ledger, job, warm, now, C.WARM_CLAIM_S) if warm else 0
+            self._warm_until[uid] = now + C.WARM_CLAIM_S if made else now
+        return now < self._warm_until[uid]
+
+    def _claimed(self, job: Job, now: float) -> int:
+        return sum(1 for until in self._claims.get(job.spec.uid, ()) if until > now)
 
     # --- preemption ---
 
@@ -237,29 +252,35 @@
             return True
         return job.spec.uid in self.guaranteed and victim.team != job.spec.team and victim.uid not in self.guaranteed
 
-    def _make_room(self, ledger: Ledger, job: Job, hosts: list[Host], now: float, patience: float = C.CLAIM_S) -> None:
+    def _make_room(self, ledger: Ledger, job: Job, hosts: list[Host], now: float, patience: float = C.CLAIM_S) -> int:
         """Stop the least work that lets waiting tasks in; their room is awaited before more is stopped."""
         spec = job.spec
         if spec.rank != _PROD and spec.uid not in self.guaranteed:
-            return
-        claimed = sum(1 for (uid, _), until in self._claims.items() if uid == spec.uid and until > now)
-        for number in range(min(job.waiting - claimed, C.PREEMPT_PER_ROUND)):
+            return 0
+        made = 0
+        zones = dict(job.zones)  # with what the room made in this round will add
+        for _ in range(min(job.waiting - self._claimed(job, now), C.PREEMPT_PER_ROUND)):
             best: tuple[float, list[Attempt]] | None = None
             for host in hosts:
                 if not host.allows(spec) or job.avoid.get(host.name, 0.0) > now:
                     continue
-                if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
+                if spec.scatter and zones.get(host.zone, 0) + 1 > spec.zone_limit:
                     continue
-                if spec.one_zone and any(n > 0 and z != host.zone for z, n in job.zones.items()):
+                if spec.one_zone and any(n > 0 and z != host.zone for z, n in zones.items()):
                     continue
                 found = self._victims(ledger, job, host, now)
                 if found is not None and (best is None or found[0] < best[0]):
                     best = found
             if best is None:
-                return
+                break
+            log.debug("room for %s: %s", spec.uid, [f"{a.shard} on {a.host.name} {a.host.zone}" for a in best[1]])
             for attempt in best[1]:
                 ledger.stop(attempt, f"making room for {spec.uid}")
-            self._claims[(spec.uid, -1 - claimed - number)] = now + patience
+            zone = best[1][0].host.zone
+            zones[zone] = zones.get(zone, 0) + 1
+            self._claims.setdefault(spec.uid, []).append(now + patience)
+            made += 1
+        return made
 
     def _victims(self, ledger: Ledger, job: Job, host: Host, now: float) -> tuple[float, list[Attempt]] | None:
         spec = job.spec
