--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -46,6 +46,7 @@
         self._sample = sample
         self._left: list[str] = []  # jobs that the last round did not get to
         self._claims: dict[str, list[float]] = {}  # job -> until when room made for one of its tasks is awaited
+        self._reserved: dict[str, tuple[str, float]] = {}  # machine -> job that room is made for there, until when
         self._warm_until: dict[str, float] = {}  # job -> until when room on machines with its image is awaited
         self.unplaced: dict[str, Unplaced] = {}
         self.guaranteed: set[str] = set()
@@ -55,6 +56,7 @@
         self._left.clear()
         self._claims.clear()
         self._warm_until.clear()
+        self._reserved.clear()
         self.unplaced.clear()
 
     # --- order and shares ---
@@ -117,6 +119,11 @@
             self._left = self._order(ledger, now)
             self.unplaced = {u: d for u, d in self.unplaced.items() if u in ledger.jobs}
             self._claims = {u: left for u, t in self._claims.items() if (left := [x for x in t if x > now])}
+            self._reserved = {
+                host: (uid, until)
+                for host, (uid, until) in self._reserved.items()
+                if until > now and (job := ledger.jobs.get(uid)) is not None and job.waiting
+            }
             self._warm_until = {u: t for u, t in self._warm_until.items() if u in ledger.jobs}
         hosts = [h for h in ledger.hosts.values() if h.usable()]
         full: set[tuple[object, ...]] = set()
@@ -161,6 +168,8 @@
             if self._slow_start(ledger, job, host) and self._await_warm(ledger, job, hosts, now):
                 break
             ledger.bind(job, index, host, now)
+            if self._reserved.get(host.name, ("", 0.0))[0] == spec.uid:
+                del self._reserved[host.name]
             if self._claims.get(spec.uid):
                 self._claims[spec.uid].pop(0)
         if job.waiting > 0:
@@ -207,7 +216,9 @@
             return False
         if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
             return False
-        return job.avoid.get(host.name, 0.0) <= now
+        # Without the reservation small tasks take what is freed piece by piece, and more is stopped for nothing.
+        holder, until = self._reserved.get(host.name, (spec.uid, 0.0))
+        return (holder == spec.uid or until <= now) and job.avoid.get(host.name, 0.0) <= now
 
     def _score(self, job: Job, host: Host) -> float:
         """Lower is better: the image is there, the machine is left fuller, the zones stay even."""
@@ -262,7 +273,7 @@
         for _ in range(min(job.waiting - self._claimed(job, now), C.PREEMPT_PER_ROUND)):
             best: tuple[float, list[Attempt]] | None = None
             for host in hosts:
-                if not host.allows(spec) or job.avoid.get(host.name, 0.0) > now:
+                if not host.allows(spec) or job.avoid.get(host.name, 0.0) > now or host.name in self._reserved:
                     continue
                 if spec.scatter and zones.get(host.zone, 0) + 1 > spec.zone_limit:
                     continue
@@ -274,11 +285,14 @@
             if best is None:
                 break
             log.debug("room for %s: %s", spec.uid, [f"{a.shard} on {a.host.name} {a.host.zone}" for a in best[1]])
+            wait = patience
             for attempt in best[1]:
-                ledger.stop(attempt, f"making room for {spec.uid}")
+                ledger.stop(attempt, f"making room for {spec.uid}", hurry=spec.rank == _PROD)
+                wait = max(wait, patience + attempt.wind_down)
             zone = best[1][0].host.zone
             zones[zone] = zones.get(zone, 0) + 1
-            self._claims.setdefault(spec.uid, []).append(now + patience)
+            self._claims.setdefault(spec.uid, []).append(now + wait)
+            self._reserved[best[1][0].host.name] = (spec.uid, now + wait)
             made += 1
         return made
 
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -591,11 +591,12 @@
 
     # --- stopping ---
 
-    def stop(self, attempt: Attempt, reason: str) -> None:
-        """Stop a task to make room or to drain; it may save if that is worth the time."""
+    def stop(self, attempt: Attempt, reason: str, hurry: bool = False) -> None:
+        """Stop a task to make room or to drain; it saves first unless its room is needed at once."""
         if attempt.stop or attempt.exited:
             return
         attempt.stop = True
         attempt.stop_reason = reason
         spec = attempt.spec
-        attempt.wind_down = spec.snapshot_cost_s + 1.0 if spec is not None and spec.snapshot_s > 0 else 0.0
+        if spec is not None and spec.snapshot_s > 0 and not hurry:
+            attempt.wind_down = spec.snapshot_cost_s + 1.0
