--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -108,6 +108,8 @@
 #                          that may use spot machines, which cost less than half
 FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
 USE_LOG_S: Final = 10.0  # s; between two notes of the fleet's use in the debug log
+DRAIN_EVERY_S: Final = 5.0  # s; between two machines whose services are moved together elsewhere
+SETTLED_S: Final = 60.0  # s; a replica is moved for money only once it has run this long
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
 
 # --- peers ------------------------------------------------------------------------------------------
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -12,6 +12,7 @@
 
 from sorrelsill import constants as C
 from sorrelsill.fleet.catalog import Catalog, parse_catalog
+from sorrelsill.fleet.consolidate import machine_to_drain
 from sorrelsill.fleet.rentals import Need, Offer, Pending, overdue, plan
 from sorrelsill.http import Client, NoAnswer, NotSent
 from sorrelsill.settings import CloudLimits
@@ -99,6 +100,8 @@
         self._reported_at = float("-inf")
         self._running_since: dict[str, float] = {}
         self._give_back: dict[str, str] = {}  # machine -> why it goes back
+        self._drained_at = float("-inf")
+        self.on_drain: Callable[[], None] = lambda: None  # halts are due
         self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
 
     async def step(self) -> None:
@@ -119,6 +122,7 @@
             await self._return()
         if not self._valid():
             return
+        self._consolidate(trio.current_time())
         self._choose_rentals(trio.current_time())
         await self._rent()
 
@@ -225,6 +229,8 @@
                 continue
             if host.faulty:
                 self._start_return(host, "faulty")
+            elif host.draining:
+                self._start_return(host, "drained")
             elif now - max(host.idle_since, self._ledger.started) > self._patience(host) and not self._is_spare(host):
                 self._start_return(host, "idle")
         for name, pending in self.pending.items():
@@ -273,6 +279,29 @@
             self.pending.pop(name, None)
             self._ledger.gone_for_certain(name, now, "machine returned")
 
+    def _consolidate(self, now: float) -> None:
+        """In quiet times, one machine at a time: its services move to fuller ones and it goes back."""
+        ledger = self._ledger
+        if self._hurried or self.pending or self._open or now - self._drained_at < C.DRAIN_EVERY_S:
+            return
+        if any(u.count for u in self._demand()) or any(h.draining for h in ledger.hosts.values()) or ledger.unheard:
+            return
+        spare = self._spare_spec()
+        zones = sorted(self._spare_room(spare)) if spare is not None else []
+        host = machine_to_drain(ledger.hosts.values(), ledger.jobs, now, self._price, spare, zones)
+        if host is None:
+            return
+        self._drained_at = now
+        log.info("draining %s: its services fit elsewhere", host.name)
+        host.draining = True
+        for attempt in list(host.attempts.values()):
+            ledger.stop(attempt, "moved to a fuller machine", hurry=True)
+        self.on_drain()
+
+    def _price(self, host: Host) -> float:
+        kind = self._ledger.catalog.flavours.get(host.flavour)
+        return kind.cost(host.spot) if kind is not None else 0.0
+
     # --- renting ---
 
     def needs(self, now: float) -> list[Need]:
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -90,6 +90,7 @@
             {o.workload for o in self.settings.facts.objectives if o.kind == "wait" and o.workload},
         )  # fmt: skip
         self.fleet.on_catalog = self._on_catalog
+        self.fleet.on_drain = lambda: self._wake.set()
         self.placer.reset()
         for loop in ("place", "record", "fleet"):
             self.watchdog.beat(loop)
