--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -102,7 +102,7 @@
 BOOT_EXTRA_S: Final = 30.0  # s; ... plus this is given up and returned
 SILENT_RETURN_S: Final = 30.0  # s; a machine whose work is lost and that stays silent goes back after this
 RENT_TRIES: Final = 4  # tries; of one rental request before it is planned anew
-DEADLINE_USE: Final = 0.7  # ratio; of the time to a deadline that is planned for, as estimates are often wrong
+DEADLINE_USE: Final = 0.9  # ratio; of the time to a deadline that is planned for, as estimates are often wrong
 ESTIMATE_SLACK: Final = 1.3  # ratio; estimates of run times are often wrong by half
 PATIENCE_S: Final = 8.0  # s; on top of boot, fetch and run time before an ordinary machine is rented for work
 #                          that may use spot machines, which cost less than half
