A leader that hears no worker any more yields

Cause: a leader cut from the workers alone went on pinging, followers kept sending workers back to it, and all leases ran out. Ruled out: the standstill (the store answered).

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -27,6 +27,10 @@
 STALL_LIMIT_S: Final = 10.0  # s; a leader's loop without a beat for this long counts as stalled
 SELF_RELEASE_S: Final = 10.0  # s; stalled for this long on top makes the leader yield (guide: 30 s, which
 #                                is longer than the workers' leases here)
+DEAF_REPORTS: Final = 2.0  # report intervals; with no report of any worker for this long ...
+DEAF_EXTRA_S: Final = 1.0  # s; ... plus this, a leader that heard some before yields ...
+DEAF_HOSTS: Final = 2  # machines; ... if at least this many should be heard ...
+DEAF_HOLD_S: Final = 20.0  # s; ... and leaves the key to others this long
 ACQUIRE_JITTER_S: Final = 0.05  # s; spreads the followers' attempts when the key goes
 
 # --- workers ----------------------------------------------------------------------------------------
--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -67,6 +67,7 @@
         self.since = float("-inf")  # when we learnt of our term
         self.bound_until = float("-inf")  # a promise to a peer: no acquiring and no acting before this
         self.acquire_after = float("-inf")  # a fresh process waits out what it may have promised before
+        self.deaf: Callable[[], bool] = lambda: False  # whether we lead but hear no worker any more
         self.acquiring = False  # a try for the key is under way, so no promise can be given
         self.on_term: Callable[[int | None], None] = lambda term: None
         self._changed = trio.Event()
@@ -129,6 +130,12 @@
             log.error("yielding: loops stalled or exited: %s", ", ".join(out))
             await self._yield(lease)
             return
+        if self.deaf():
+            # Guards against a leader that reaches the store but not the workers: their leases would all run out.
+            log.error("yielding: no worker is heard any more")
+            self.acquire_after = trio.current_time() + C.DEAF_HOLD_S
+            await self._yield(lease)
+            return
         sent_at = trio.current_time()
         pause = self._t.ping_s
         try:
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -65,6 +65,7 @@
         self._wake = trio.Event()
         self.counts: dict[str, int] = {}
         self.elector.on_term = self._on_term
+        self.elector.deaf = self._deaf
         self.standstill.on_bound = self._on_bound
         self.view.listeners.append(self._on_key)
 
@@ -121,6 +122,10 @@
             self._add_job(ledger, uid, value, rev)
             self._wake.set()
 
+    def _deaf(self) -> bool:
+        limit = C.DEAF_REPORTS * self.settings.facts.workers.report_s + C.DEAF_EXTRA_S
+        return self.ledger is not None and self.ledger.deaf(trio.current_time(), limit)
+
     def _fresh(self) -> bool:
         """Whether the view of the jobs is recent enough to start anything on it."""
         return trio.current_time() - self.view.fresh_at < C.VIEW_STALE_S
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -203,6 +203,7 @@
         self.final: set[str] = set()  # jobs that are over, as committed
         self.gone: set[str] = set()  # machines whose roster key has to be removed
         self.renewed_by_others = float("-inf")  # leases may have been renewed by any node up to then
+        self.heard_at: float | None = None  # receipt of the last report of any worker in this term
         self.wake_placing = True
         self._tries = 0
         self._orders = 0
@@ -395,6 +396,13 @@
             self.wake_placing = True
         return lost
 
+    def deaf(self, now: float, limit: float) -> bool:
+        """Whether workers were heard in this term and all of them have been silent since. One machine alone
+        proves nothing, and a leader that never heard any is no better replaced."""
+        if self.heard_at is None or now - max(self.heard_at, self.renewed_by_others) <= limit:
+            return False
+        return sum(1 for h in self.hosts.values() if not h.lost and h.answered_at is not None) >= C.DEAF_HOSTS
+
     def drain(self, now: float) -> None:
         """Let work on machines that are about to be taken save itself, as late as is safe."""
         for host in self.hosts.values():
@@ -431,6 +439,8 @@
             return None  # its lease is over by our clock: only its next session is believed
         host.serial = report.serial
         host.seen_at = now
+        if renews:
+            self.heard_at = now
         if renews or host.answered_at is None:
             host.answered_at = now
         if report.epoch == self.term and not host.synced:
