--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -117,8 +117,8 @@
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
 
 # --- peers ------------------------------------------------------------------------------------------
-PROMISE_S: Final = 3.0  # s; a promise not to lead or acquire lasts this long
-PROMISE_EVERY_S: Final = 1.0  # s; and is renewed this often
+PROMISE_S: Final = 2.0  # s; a promise not to lead or acquire lasts this long
+PROMISE_EVERY_S: Final = 0.6  # s; and is renewed this often
 PROMISE_AFTER_S: Final = 1.0  # s; without the store for this long a node asks for promises
 PROMISE_MARGIN_S: Final = 0.2  # s; the holder counts a promise as shorter by this, for drift and late timers
-PEER_TIMEOUT_S: Final = 0.8  # s; for an answer of a peer
+PEER_TIMEOUT_S: Final = 0.6  # s; for an answer of a peer
