--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -239,8 +239,12 @@
             elif now - max(host.idle_since, self._ledger.started) > self._patience(host) and not self._is_spare(host):
                 self._start_return(host, "idle")
         for name, pending in self.pending.items():
+            if name in self._ledger.unheard:
+                continue
             up = self._running_since.get(name)
-            if overdue(pending, self._ledger.catalog, now):
+            # Counted from our own beginning at the earliest: found on a day of our own, a new leader took every
+            # machine that had not reported to it yet for one that never came up, and gave the whole fleet back.
+            if overdue(max(pending.since, self._ledger.started), pending.flavour, self._ledger.catalog, now):
                 self._give_back.setdefault(name, "never came up")
             elif up is not None and now - up > 2 * C.SILENT_RETURN_S:
                 self._give_back.setdefault(name, "up but silent")
--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -139,8 +139,8 @@
     return best[1] if best is not None else None
 
 
-def overdue(pending: Pending, catalog: Catalog, now: float) -> bool:
+def overdue(since: float, flavour: str, catalog: Catalog, now: float) -> bool:
     """A machine that has been booting for far too long never comes up, but is charged."""
-    kind: Flavour | None = catalog.flavours.get(pending.flavour)
+    kind: Flavour | None = catalog.flavours.get(flavour)
     boot = kind.boot_s if kind is not None else C.MIN_CHARGE_S
-    return now - pending.since > C.BOOT_SLOW * boot + C.BOOT_EXTRA_S
+    return now - since > C.BOOT_SLOW * boot + C.BOOT_EXTRA_S
--- a/sorrelsill/stories/test_failures.py
+++ b/sorrelsill/stories/test_failures.py
@@ -279,6 +279,28 @@
     story(tell)
 
 
+def test_a_new_leader_does_not_give_back_machines_it_has_not_heard_yet() -> None:
+    """Found on a day of our own: old machines that were slow to reach the new leader all went back."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=6))
+        await world.until(lambda: len(world.running("run-s")) == 6)
+        await trio.sleep(120)
+        machines = set(world.cloud.machines)
+        old = await world.until_leader()
+        for name in world.workers:
+            for label in world.nodes:
+                world.net.cut(name, label)
+        world.kill(old)
+        await world.until_leader(10)
+        await trio.sleep(3)
+        world.net.heal()
+        await trio.sleep(10)
+        assert set(world.cloud.machines) == machines and len(world.running("run-s")) == 6
+
+    story(tell)
+
+
 def test_a_worker_silent_within_its_lease_keeps_its_tasks() -> None:
     async def tell(world: World) -> None:
         await world.submit(service("run-s", shards=2))
