--- /dev/null
+++ b/sorrelsill/http/test_http.py
@@ -0,0 +1,127 @@
+"""The server and the client against each other and against bad input, on streams in memory."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from sorrelsill import constants as C
+from sorrelsill.http import Client, NoAnswer, NotSent, Reply, Request, Server
+
+
+async def _echo(request: Request) -> Reply:
+    return Reply(200, request.body or request.path.encode(), [("Retry-After", "1")])
+
+
+def _play(tell: Callable[[trio.Nursery, Server], Awaitable[None]], handler: object = _echo, most: int = 4) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await tell(nursery, Server(handler, most))  # type: ignore[arg-type]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def _raw(nursery: trio.Nursery, server: Server, data: bytes) -> bytes:
+    """Everything the server says to these bytes until it closes or falls silent."""
+    here, there = trio.testing.memory_stream_pair()
+    nursery.start_soon(server.serve_stream, there)
+    await here.send_all(data)
+    out = b""
+    with trio.move_on_after(2):
+        while chunk := await here.receive_some(65536):
+            out += chunk
+        return out + b"<closed>"
+    return out
+
+
+def test_requests_share_a_connection_and_bodies_pass_whole() -> None:
+    async def tell(nursery: trio.Nursery, server: Server) -> None:
+        opened = []
+
+        async def connect(addr: str) -> trio.abc.Stream:
+            here, there = trio.testing.memory_stream_pair()
+            opened.append(addr)
+            nursery.start_soon(server.serve_stream, there)
+            return here
+
+        client = Client("10.0.0.1:80", connect)
+        assert await client.request("GET", "/a?b=c") == (200, b"/a")
+        body = b"x" * C.MAX_BODY
+        assert await client.request("POST", "/", body) == (200, body)
+        assert len(opened) == 1
+
+    _play(tell)
+
+
+def test_broken_long_and_odd_requests_are_refused_and_the_connection_closed() -> None:
+    async def tell(nursery: trio.Nursery, server: Server) -> None:
+        broken = await _raw(nursery, server, b"\x00\x01 nonsense\r\n\r\n")
+        assert broken.startswith(b"HTTP/1.1 400") and broken.endswith(b"<closed>")
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (C.MAX_BODY + 1)
+        long = await _raw(nursery, server, head + b"x" * (C.MAX_BODY + 1))
+        assert long.startswith(b"HTTP/1.1 413") and long.endswith(b"<closed>")
+        header = await _raw(nursery, server, b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"y" * 40_000)
+        assert header.endswith(b"<closed>")
+        assert (await _raw(nursery, server, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200")
+
+    _play(tell, most=10)
+
+
+def test_a_failing_handler_gives_500_and_the_server_goes_on() -> None:
+    async def handler(request: Request) -> Reply:
+        raise RuntimeError("boom")
+
+    async def tell(nursery: trio.Nursery, server: Server) -> None:
+        for _ in range(2):
+            answer = await _raw(nursery, server, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 500")
+
+    _play(tell, handler)
+
+
+def test_idle_and_slow_clients_are_dropped_and_sockets_bounded() -> None:
+    async def tell(nursery: trio.Nursery, server: Server) -> None:
+        streams = []
+        for _ in range(6):
+            here, there = trio.testing.memory_stream_pair()
+            nursery.start_soon(server.serve_stream, there)
+            streams.append(here)
+        await trio.sleep(0.1)
+        assert server.open == 4
+        await streams[0].send_all(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc")
+        await trio.sleep(C.REQUEST_S + 1)
+        assert server.open == 3, "a request that does not end is given up"
+        await trio.sleep(C.IDLE_S)
+        assert server.open == 0
+
+    _play(tell)
+
+
+def test_the_client_tells_not_sent_from_no_answer() -> None:
+    async def silent(request: Request) -> Reply:
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def tell(nursery: trio.Nursery, server: Server) -> None:
+        async def refuse(addr: str) -> trio.abc.Stream:
+            raise OSError("refused")
+
+        async def hang(addr: str) -> trio.abc.Stream:
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async def connect(addr: str) -> trio.abc.Stream:
+            here, there = trio.testing.memory_stream_pair()
+            nursery.start_soon(server.serve_stream, there)
+            return here
+
+        for how, expected in ((refuse, NotSent), (hang, NotSent), (connect, NoAnswer)):
+            try:
+                await Client("10.0.0.1:80", how).request("GET", "/", timeout=1.0)
+            except (NotSent, NoAnswer) as error:
+                assert type(error) is expected
+            else:
+                raise AssertionError("an answer out of nowhere")
+
+    _play(tell, silent)
--- /dev/null
+++ b/sorrelsill/test_settings.py
@@ -0,0 +1,90 @@
+"""Settings: what is unknown is ignored, what is bad ends with one line that names file, field and reason."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from sorrelsill.cli import main
+from sorrelsill.settings import SettingsError, Timings, load, load_operator
+
+GOOD = """
+label = "n0"
+listen = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+brand_new = { field = 1 }
+[[members]]
+label = "n1"
+addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+nodes = 2
+[facts.workers]
+report_s = 1.0
+lease_s = 11.0
+cancel_s = 31.0
+[facts.state]
+rps = 80.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[facts.cloud]
+rps = 1.5
+[[facts.objectives]]
+kind = "wait"
+class = "live"
+within_s = 1.0
+"""
+
+
+def _file(tmp_path: Path, text: str, name: str = "s.toml") -> str:
+    path = tmp_path / name
+    path.write_text(text)
+    return str(path)
+
+
+def test_a_good_file_loads_and_timings_fit_the_workers_lease(tmp_path: Path) -> None:
+    settings = load(_file(tmp_path, GOOD))
+    assert settings.facts.objectives[0].workload == "live"
+    timings = Timings.derive(settings.facts.workers, load_operator(None))
+    assert timings.ping_s < timings.validity_s < timings.lease_s < settings.facts.workers.lease_s / 2
+    assert timings.loss_s > settings.facts.workers.lease_s
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('listen = "10.0.0.1:8080"', 'listen = "localhost:80"', "listen"),
+        ("lease_s = 11.0", "lease_s = -1.0", "facts.workers.lease_s"),
+        ("lease_s = 11.0", 'lease_s = "long"', "facts.workers.lease_s"),
+        ("lease_s = 11.0", "lease_s = inf", "facts.workers.lease_s"),
+        ('label = "n1"', 'label = "n0"', "members"),
+        ("txn_ops = 16", "", "facts.state"),
+        ('state = "10.2.0.1:2379"', 'state = "10.2.0.1:99999"', "services.state"),
+        ("[facts.cloud]", "[facts.cloud", "syntax"),
+    ],
+)
+def test_a_bad_file_ends_with_one_line_and_code_2(tmp_path: Path, old: str, new: str, field: str) -> None:
+    path = _file(tmp_path, GOOD.replace(old, new, 1))
+    with pytest.raises(SettingsError) as caught:
+        load(path)
+    assert str(caught.value).startswith(f"{path}: {field}") and "\n" not in str(caught.value)
+    result = CliRunner().invoke(main, ["check", "--config", path])
+    assert result.exit_code == 2
+
+
+def test_operators_own_settings_are_hcl(tmp_path: Path) -> None:
+    good = load_operator(_file(tmp_path, "lease_s = 5.0\nsample = 8\nunknown = true\n", "own.hcl"))
+    assert (good.lease_s, good.sample) == (5.0, 8)
+    for text, field in (("lease_s = -1.0", "lease_s"), ('sample = "many"', "sample"), ("lease_s = {", "syntax")):
+        path = _file(tmp_path, text, "bad.hcl")
+        with pytest.raises(SettingsError, match=f"bad.hcl: {field}") as caught:
+            load_operator(path)
+        assert "\n" not in str(caught.value)
+    settings = _file(tmp_path, GOOD)
+    result = CliRunner().invoke(main, ["check", "--config", settings, "--operator", path])
+    assert result.exit_code == 2
+    result = CliRunner().invoke(main, ["check", "--config", settings])
+    assert result.exit_code == 0 and '"lease_s"' in result.output
