Count tasks of jobs that were over before the term toward their team's limit

Ruled out: roster gaps, the old leader's orders. Also: rebuild only from a view that holds everything up to the own term. Story added; it fails without the fix.

--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -212,6 +212,14 @@
             # Slow answers ate the lease's first part: no good ping to act on, so let it go.
             await self._store.revoke(lease, timeout)
             return
+        # The view may have been read page by page while the old leader still wrote: rebuild from one that
+        # holds everything up to our own term.
+        while self._view.rev < term:
+            if trio.current_time() - sent_at >= self._t.validity_s:
+                await self._store.revoke(lease, timeout)
+                return
+            if not await self._view.barrier():
+                await trio.sleep(C.RETRY_S / 5)
         self.term, self._lease = term, lease
         self._good_ping = sent_at
         self.since = trio.current_time()
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -103,8 +103,11 @@
         team = self._teams.get(spec.team)
         if team is None:
             return False
-        cpus = ledger.team_cpus.get(spec.team, 0.0) + ledger.unheard_cpus() + spec.cpus * count
-        gpus = ledger.team_gpus.get(spec.team, 0.0) + ledger.unheard_gpus() + spec.gpus * count
+        if not team.cpus_max and not team.gpus_max:
+            return True
+        unseen_cpus, unseen_gpus = ledger.unseen()
+        cpus = ledger.team_cpus.get(spec.team, 0.0) + unseen_cpus + spec.cpus * count
+        gpus = ledger.team_gpus.get(spec.team, 0.0) + unseen_gpus + spec.gpus * count
         return (not team.cpus_max or cpus <= team.cpus_max + 1e-6) and (
             not team.gpus_max or gpus <= team.gpus_max + 1e-6
         )
--- a/sorrelsill/stories/test_failures.py
+++ b/sorrelsill/stories/test_failures.py
@@ -382,6 +382,23 @@
     story(tell)
 
 
+def test_what_was_cancelled_while_nobody_led_still_counts_toward_the_limit() -> None:
+    """Found in an incident (quota): the new leader started a team's next job before the last one was gone."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-k", owner="blue", region="b", shards=1, sizeGb=0.0))
+        await world.submit(service("run-s", region="a", shards=4, sizeGb=0.0))
+        await world.until(lambda: len(world.running("run-s")) == 4 and bool(world.running("run-k")))
+        there = {name for _, name in world.running("run-s")}
+        world.kill(await world.until_leader())
+        await world.cancel("run-s")
+        await world.submit(service("run-n", region="b", shards=3, sizeGb=0.0))
+        world.net.hold_request = lambda src, dst, request: dst in there and b"halt" in request.body
+        await world.until(lambda: len(world.running("run-n")) == 3, 40)
+
+    story(tell, teams=[Team("red", cpus_max=8.0), Team("blue")])
+
+
 def test_a_takeover_with_a_silent_worker_waits_for_its_lease() -> None:
     """What the silent machine runs may not be started elsewhere; a job that came later need not wait."""
 
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -356,12 +356,17 @@
         """Whether everything an earlier leader may have started of a job is accounted for."""
         return not job.old or not self.unheard
 
-    def unheard_cpus(self) -> float:
-        """What may be running unseen counts in full toward every team's limit."""
-        return sum(f.cpus for s in self.unheard.values() if (f := self.catalog.flavours.get(s)))
-
-    def unheard_gpus(self) -> float:
-        return sum(f.gpus for s in self.unheard.values() if (f := self.catalog.flavours.get(s)))
+    def unseen(self) -> tuple[float, float]:
+        """CPUs and GPUs of what may be running unseen; it counts in full toward every team's limit. Besides
+        machines not heard yet these are tasks of jobs that were over before this term began. Found in an
+        incident: a job cancelled while nobody led was not counted, and its team went over its limit."""
+        kinds = [f for s in self.unheard.values() if (f := self.catalog.flavours.get(s))]
+        cpus, gpus = sum(f.cpus for f in kinds), sum(f.gpus for f in kinds)
+        for host in self.hosts.values():
+            if any(a.spec is None and not a.exited for a in host.attempts.values()):
+                cpus += max(0.0, host.cap_cpus - host.cpus)
+                gpus += max(0.0, host.cap_gpus - host.gpus)
+        return cpus, gpus
 
     def gone_for_certain(self, name: str, now: float, reason: str) -> None:
         """The machine was returned (answered 200), or is listed as failed."""
