Cancelled tasks are halted in a standstill, and a fresh process renews blindly only for a while

Cause: found while checking the safety argument: leases renewed during a long outage could keep a task of a cancelled job past cancel_s. Story added; it fails without the halts.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -121,4 +121,6 @@
 PROMISE_EVERY_S: Final = 0.6  # s; and is renewed this often
 PROMISE_AFTER_S: Final = 1.0  # s; without the store for this long a node asks for promises
 PROMISE_MARGIN_S: Final = 0.2  # s; the holder counts a promise as shorter by this, for drift and late timers
+BLIND_MARGIN_S: Final = 6.0  # s; a fresh process renews leases without a job view for `cancel_s` less the
+#                              workers' lease and this, which covers its own restart
 PEER_TIMEOUT_S: Final = 0.6  # s; for an answer of a peer
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -23,7 +23,7 @@
 from sorrelsill.settings import Operator, Settings, Timings
 from sorrelsill.store import CATALOG, LEADER, Condition, Put, Store, Unavailable, View
 from sorrelsill.store import Ambiguous as StoreAmbiguous
-from sorrelsill.workers import BadReport, Ledger, Pusher, Superseded, parse_report
+from sorrelsill.workers import BadReport, Ledger, Pusher, Report, Superseded, halt, parse_report
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +48,11 @@
         self.elector = Elector(self.store, self.view, self.timings, settings.label, self.watchdog, rng)
         self.elector.acquire_after = trio.current_time() + (C.PROMISE_S if settings.members else 0.0)
         self._time_of_day = time_of_day
+        # A fresh process knows of no cancellation: it renews leases blindly only as long as a task that was
+        # cancelled before it started still goes in time, by its lease, once it stops.
+        workers = facts.workers
+        blind_s = max(0.0, workers.cancel_s - workers.lease_s - C.BLIND_MARGIN_S)
+        self._blind_until = trio.current_time() + blind_s
         self.admission = Admission(self.store, self.view, facts.teams, time_of_day)
         self.cloud = Cloud(make_client(settings.services.cloud), facts.cloud)
         self.standstill = Standstill(self.store, self.elector, settings.members, make_client)
@@ -229,16 +234,27 @@
             if orders is None:
                 return Reply(503)
             self._news()
-            token = ledger.term if acting else report.epoch
-            return Reply(200, _encode({"epoch": token, "orders": orders}))
-        if self.standstill.active():
-            # Nobody leads and nobody can: the worker's own token, no orders, only its lease goes on.
-            return Reply(200, _encode({"epoch": report.epoch, "orders": []}))
+            if not acting:
+                return Reply(200, _encode({"epoch": report.epoch, "orders": self._halts(report)}))
+            return Reply(200, _encode({"epoch": ledger.term, "orders": orders}))
+        if self.standstill.active() and (self.view.loaded or trio.current_time() < self._blind_until):
+            # Nobody leads and nobody can: the worker's own token; its lease goes on and nothing else does.
+            return Reply(200, _encode({"epoch": report.epoch, "orders": self._halts(report)}))
         label = self.elector.leader_label()
         if label in self._labels:
             return Reply(421, _encode({"upstream": label}))
         return Reply(421, _encode({}))
 
+    def _halts(self, report: Report) -> list[dict[str, Any]]:
+        """In a standstill: tasks of jobs known to be cancelled still have to go. Halting them is always right,
+        whoever leads next, and a worker takes it from any controller that names its token."""
+        out = []
+        for item in report.shards:
+            final = self.view.final(item.split()[0])
+            if item.phase != "exited" and isinstance(final, dict) and final.get("p") == "cancelled":
+                out.append(halt(item.shard, item.tryNo, 0.0))
+        return out
+
     def ready(self) -> bool:
         """Able to serve. If all lack the store, staying ready and answering 503 beats a refused connection."""
         if not self.view.loaded:
--- a/sorrelsill/stories/test_failures.py
+++ b/sorrelsill/stories/test_failures.py
@@ -219,6 +219,27 @@
     story(tell)
 
 
+def test_what_was_cancelled_goes_even_in_a_standstill() -> None:
+    """The leader dies with the halts unsent and the store goes with it: leases go on, cancelled tasks may not."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=2))
+        await world.submit(service("run-c", shards=2))
+        await world.until(lambda: len(world.running("run-s")) == 2 and len(world.running("run-c")) == 2)
+        old = await world.until_leader()
+        other = next(label for label in world.nodes if label != old)
+        world.kill(old)
+        assert (await world.ask(other, "POST", "/v2/runs/run-c/cancel"))[1]["phase"] == "cancelled"
+        await trio.sleep(0.1)
+        world.store.begin_outage()
+        await trio.sleep(4)
+        world.start(old)
+        await trio.sleep(50)
+        assert world.running("run-c") == [] and len(world.running("run-s")) == 2
+
+    story(tell)
+
+
 def test_all_controllers_crash_during_an_outage_and_the_tasks_live() -> None:
     async def tell(world: World) -> None:
         await world.submit(service("run-s", shards=4))
