--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -40,12 +40,15 @@
 START_BACKOFF_MAX_S: Final = 60.0  # s; cap of that pause
 HOST_ERRORS_SUSPECT: Final = 2  # distinct jobs failing on a machine before it is held faulty
 HOST_AVOID_S: Final = 120.0  # s; a machine that refused or failed a job's task is avoided for that job
+SWEEP_EVERY_S: Final = 0.25  # s; between two looks for machines silent past their lease
+REPEAT_S: Final = 120.0  # s; a repeat of a direct start may come this late: its task is cleared only after it
+TOMBS: Final = 4096  # machines that are gone, remembered so that late copies of their reports are refused
 TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
 
 PUSH_TIMEOUT_S: Final = 2.0  # s; for a worker's answer to orders sent straight to it
 PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long
 PUSH_AT_ONCE: Final = 32  # calls to workers in flight
-PUSH_CLIENTS: Final = 96  # machines to which a connection is kept
+PUSH_SOCKETS: Final = 0.25  # ratio; of the quota of sockets, for connections kept to workers
 
 # --- state service ----------------------------------------------------------------------------------
 STORE_TIMEOUT_S: Final = 1.5  # s; an answer normally takes 10 ms, now and then a few hundred
@@ -58,7 +61,10 @@
 RETRY_S: Final = 0.25  # s; pause after a failed store call in a loop
 FINAL_CACHE: Final = 20_000  # jobs; finished jobs whose final state is held in memory
 CHUNK_SHARDS: Final = 16_384  # tasks; jobs above this keep finished tasks in keys of their own
+ROSTER_PARTS: Final = 32  # keys that share the roster: 20 machines each at 640, well within a small value
 WRITER_TICK_S: Final = 0.2  # s; finished tasks and changed states are gathered this long per write
+PROGRESS_EVERY_S: Final = 6.0  # s; the record of a job that goes on running is written this often
+WATCH_SHARE: Final = 0.4  # ratio; of a node's requests to the store that its watch may use while changes come thick
 
 # --- users ------------------------------------------------------------------------------------------
 CLI_TIMEOUT_S: Final = 6.0  # s; the command line waits a little longer than the 5 s a user does
@@ -73,7 +79,7 @@
 # --- http -------------------------------------------------------------------------------------------
 IDLE_S: Final = 90.0  # s; an idle client connection is closed after this
 REQUEST_S: Final = 10.0  # s; a request has to arrive, and an answer be taken, within this
-SOCKET_RESERVE: Final = 80  # sockets; kept free of the quota for our own calls and for peers
+SOCKET_RESERVE: Final = 64  # sockets; kept free of the quota for our own calls to store, cloud and peers
 POOL_IDLE_S: Final = 20.0  # s; a kept client connection older than this is not used again
 POOL_MAX: Final = 8  # connections kept per address
 CONNECT_S: Final = 0.7  # s; a connection that takes longer is given up
@@ -87,6 +93,12 @@
 FETCH_WEIGHT: Final = 4.0  # score; a missing image against the whole of a machine left over
 ORDINARY_WEIGHT: Final = 0.5  # score; work that may use spot machines leaves the ordinary ones free
 ZONE_WEIGHT: Final = 1.0  # score; evenness of a job over the zones against a machine left over
+ORDER_EVERY_S: Final = 0.25  # s; shares of the teams' guarantees are worked out anew this often, or for a new job
+PREEMPT_SAMPLE: Final = 48  # machines looked at for the cheapest room to be made
+BARREN_S: Final = 0.5  # s; after a look for room in vain the same kind of work does not look again for this long
+AGED_S: Final = 75.0  # s; a job none of whose tasks ran for this long goes before all but production; the users
+#                       allow four minutes to begin, and some jobs may be in that state together
+AGED_HOLD_S: Final = 30.0  # s; a machine is kept filling up for such a job this long
 PREEMPT_PER_ROUND: Final = 8  # tasks; room is made for this many of a job per round
 PREEMPT_BASE_S: Final = 5.0  # s; what a stop costs besides the lost run time: fetching and starting again
 WARM_CLAIM_S: Final = 1.0  # s; the same on machines that hold the image; then any machine will do
@@ -110,9 +122,11 @@
 ESTIMATE_SLACK: Final = 1.3  # ratio; estimates of run times are often wrong by half
 PATIENCE_S: Final = 8.0  # s; on top of boot, fetch and run time before an ordinary machine is rented for work
 #                          that may use spot machines, which cost less than half
+PLAN_EVERY_S: Final = 1.0  # s; between two plans of what to rent, which take long when much waits; a boot takes longer
 FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
 USE_LOG_S: Final = 10.0  # s; between two notes of the fleet's use in the debug log
 DRAIN_EVERY_S: Final = 5.0  # s; between two machines whose services are moved together elsewhere
+DRAIN_TRIES: Final = 8  # machines, worst used first, that are checked in detail for whether they can be emptied
 SETTLED_S: Final = 60.0  # s; a replica is moved for money only once it has run this long
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
 
--- a/sorrelsill/fleet/consolidate.py
+++ b/sorrelsill/fleet/consolidate.py
@@ -41,10 +41,10 @@
     """The machine whose services fit on others that hold their images, dearest for what it carries first.
     Room for one more service stays ready in every zone, or a machine would be rented again at once."""
     usable = [h for h in hosts if h.usable()]
-    best: tuple[float, Host] | None = None
+    found: list[tuple[float, Host]] = []
     for host in usable:
         tasks = [a for a in host.attempts.values() if a.spec is not None]
-        if host.spot or not tasks or len(tasks) != len(host.attempts):
+        if host.spot or not tasks or any(not a.exited for a in host.attempts.values() if a.spec is None):
             continue
         if any(
             a.stop or a.spec is None or not a.spec.endless or a.running_since is None
@@ -52,16 +52,16 @@
             for a in tasks
         ):  # fmt: skip
             continue
-        worth = host.cpus / max(price(host), 1e-9)
-        if (best is None or worth < best[0]) and _can_move(host, usable, jobs, spare, zones):
-            best = (worth, host)
-    return best[1] if best is not None else None
+        found.append((host.cpus / max(price(host), 1e-9), host))
+    found.sort(key=lambda item: item[0])
+    return next((h for _, h in found[: C.DRAIN_TRIES] if _can_move(h, usable, jobs, spare, zones)), None)
 
 
 def _can_move(host: Host, usable: list[Host], jobs: dict[str, Job], spare: Spec | None, zones: list[str]) -> bool:
     rooms = sorted((_Room(h) for h in usable if h is not host), key=lambda r: r.cpus)
     counts: dict[str, dict[str, int]] = {}
-    for attempt in sorted(host.attempts.values(), key=lambda a: -(a.spec.cpus if a.spec is not None else 0.0)):
+    tasks = [a for a in host.attempts.values() if a.spec is not None]
+    for attempt in sorted(tasks, key=lambda a: -(a.spec.cpus if a.spec is not None else 0.0)):
         spec, job = attempt.spec, jobs.get(attempt.uid)
         if spec is None or job is None or spec.one_zone:
             return False
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -102,6 +102,7 @@
         self._returned: dict[str, float] = {}  # machine -> when it went back, or was still listed
         self._give_back: dict[str, str] = {}  # machine -> why it goes back
         self._drained_at = float("-inf")
+        self._planned_at = float("-inf")
         self.on_drain: Callable[[], None] = lambda: None  # halts are due
         self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
 
@@ -190,7 +191,7 @@
                 del self.pending[name]
         for name, host in list(self._ledger.hosts.items()):
             if name not in found and host.lost and now - host.seen_at > patience:
-                del self._ledger.hosts[name]
+                self._ledger.drop(host)
 
     def _report_use(self, now: float) -> None:
         """For operators who ask where the money goes: machines, room and use by kind."""
@@ -223,6 +224,8 @@
         self.refused = {o: t for o, t in self.refused.items() if t > now}
 
     def _choose_returns(self, now: float) -> None:
+        spare = self._spare_spec()
+        room = self._spare_room(spec=spare) if spare is not None else {}
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
                 continue
@@ -230,13 +233,20 @@
                 if now - host.seen_at > self._ledger.loss_s + C.SILENT_RETURN_S:
                     self._give_back[host.name] = "silent"
                 continue
-            if host.attempts or host.evict_at is not None or not host.synced:
+            if host.live or host.unknown or host.evict_at is not None or not host.synced:
                 continue
+            if any(not a.clearable for a in host.attempts.values()):
+                continue  # a result that is not recorded yet
             if host.faulty:
                 self._start_return(host, "faulty")
             elif host.draining:
                 self._start_return(host, "drained")
-            elif now - max(host.idle_since, self._ledger.started) > self._patience(host) and not self._is_spare(host):
+            elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
+                if spare is not None and host.allows(spare):
+                    mine = self._spare_on(host, spare)
+                    if room.get(host.zone, 0) - mine < spare.zone_limit:
+                        continue  # giving it back would leave too little room ready
+                    room[host.zone] -= mine
                 self._start_return(host, "idle")
         for name, pending in self.pending.items():
             if name in self._ledger.unheard:
@@ -265,7 +275,7 @@
         names = []
         for name in list(self._give_back):
             host = self._ledger.hosts.get(name)
-            if host is not None and any(a.spec is not None for a in host.attempts.values()):
+            if host is not None and (host.live or host.unknown):
                 # It came back to life, with work: it stays.
                 host.returning = False
                 del self._give_back[name]
@@ -376,13 +386,6 @@
             if have < spec.zone_limit
         ]
 
-    def _is_spare(self, host: Host) -> bool:
-        """Whether giving this machine back would leave too little room ready."""
-        spec = self._spare_spec()
-        if spec is None or host.faulty or not host.allows(spec):
-            return False
-        return self._spare_room(spec).get(host.zone, 0) - self._spare_on(host, spec) < spec.zone_limit
-
     def _can_wait(self, item: Unplaced, now: float) -> bool:
         """Whether a task started on a machine that is rented later can still be in time."""
         spec = item.job.spec
@@ -411,6 +414,9 @@
     def _choose_rentals(self, now: float) -> None:
         if self._open or self._lists == 0:
             return  # first learn what is there: an earlier leader's rentals are still coming up
+        if now - self._planned_at < C.PLAN_EVERY_S:
+            return
+        self._planned_at = now
         in_zone: dict[str, int] = {}
         for host in self._ledger.hosts.values():
             in_zone[host.zone] = in_zone.get(host.zone, 0) + 1
--- a/sorrelsill/jobs/admission.py
+++ b/sorrelsill/jobs/admission.py
@@ -282,7 +282,8 @@
                 record = final_record("done", spec, done.size, why)
             else:
                 record = final_record("cancelled", spec, int(value.get("n") or 0), [*why, "cancelled by its user"])
-            chunks = [Remove(chunk_key(uid, n)) for n, _ in self._view.chunks(uid)]
+            large = spec.shards > C.CHUNK_SHARDS
+            chunks = [Remove(chunk_key(uid, n)) for n, _ in self._view.chunks(uid)] if large else []
             writes: list[Put | Remove] = [Remove(job_key(uid)), Put(final_key(uid), record)]
             room = max(0, self._store.txn_ops - 2)
             txn = await self._store.multi([Condition(job_key(uid), rev)], [*writes, *chunks[:room]])
--- a/sorrelsill/jobs/recorder.py
+++ b/sorrelsill/jobs/recorder.py
@@ -5,7 +5,11 @@
 
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import trio
 
 from sorrelsill import constants as C
 from sorrelsill.jobs.records import chunk_value, final_record, record_value
@@ -25,10 +29,12 @@
 )
 
 if TYPE_CHECKING:
-    from sorrelsill.workers import Attempt, Job, Ledger
+    from sorrelsill.workers import Attempt, Host, Job, Ledger
 
 log = logging.getLogger(__name__)
 
+_json = msgspec.json.encode
+
 
 class _Batch:
     """One transaction in the making, and what its commit means."""
@@ -85,34 +91,73 @@
         return True
 
     def _roster(self, batch: _Batch) -> None:
+        """Machines that may hold work, many to a key. Each write carries the revision of what it replaces: found by
+        reading, a removal that was carried out late or twice could undo a later entry of the same term, and the next
+        leader would not have waited for that machine."""
         ledger = self._ledger
+        changes: dict[str, list[str]] = {}
         for name in list(ledger.gone):
             host = ledger.hosts.get(name)
             if host is not None and host.synced:
                 ledger.gone.discard(name)
+            else:
+                changes.setdefault(roster_key(name), []).append(name)
+        for name, host in list(ledger.to_roster.items()):
+            if not host.synced or host.rostered or host.returning:
+                del ledger.to_roster[name]
+            else:
+                changes.setdefault(roster_key(name), []).append(name)
+        for key, names in changes.items():
+            known = self._view.keys.get(key)
+            value = dict(known[0]) if known is not None and isinstance(known[0], dict) else {}
+            added: list[tuple[Host, int]] = []
+            for name in names:
+                if name in ledger.gone:
+                    value.pop(name, None)
+                    continue
+                host = ledger.to_roster[name]
+                value[name] = {"f": host.flavour, "a": host.addr}
+                added.append((host, host.tenure))
+            size = len(_json(value)) + len(key) + 50
+            if size > self._store.value_bytes or not batch.room(1, 1, size):
                 continue
-            if not batch.room(0, 1, 100):
-                return
-            batch.writes.append(Remove(roster_key(name)))
-            batch.after.append(lambda rev, name=name: ledger.gone.discard(name))  # type: ignore[misc]
-        for host in ledger.hosts.values():
-            if host.synced and not host.rostered and not host.returning and batch.room(0, 1, 200):
-                batch.writes.append(Put(roster_key(host.name), {"f": host.flavour, "a": host.addr}))
+            batch.conditions.append(Condition(key, known[1] if known is not None else 0))
+            batch.writes.append(Put(key, value))
+            batch.size += size
+            removed = [n for n in names if n in ledger.gone]
 
-                def rostered(rev: int, host: object = host, tenure: int = host.tenure) -> None:
-                    if host.synced and host.tenure == tenure:  # type: ignore[attr-defined]
-                        host.rostered = True  # type: ignore[attr-defined]
-                        ledger.wake_placing = True
+            batch.after.append(partial(self._rostered, key, value, added, removed))
 
-                batch.after.append(rostered)
+    def _rostered(
+        self, key: str, value: dict[str, Any], added: list[tuple[Host, int]], removed: list[str], rev: int
+    ) -> None:
+        """A part of the roster is committed: its machines may be given work, unless they changed meanwhile."""
+        ledger = self._ledger
+        self._view.apply(key, value, rev, True)
+        ledger.gone.difference_update(removed)
+        for host, tenure in added:
+            ledger.to_roster.pop(host.name, None)
+            if host.synced and host.tenure == tenure:
+                host.rostered = True
+                ledger.wake_placing = True
+            elif host.synced:
+                ledger.to_roster[host.name] = host
 
     def _records(self, batch: _Batch) -> None:
         ledger = self._ledger
-        # Jobs that are over go first: their users wait for it.
-        due = [ledger.jobs[u] for u in ledger.dirty if u in ledger.jobs]
+        # Jobs that are over go first, since their users wait for it, then those that begin or stop to run. Progress
+        # alone is for display, and its results stay on the workers until they are recorded, so it is gathered: found
+        # on a measured day, writing each job at each change used up the store's rate, and submissions waited.
         ledger.dirty.intersection_update(ledger.jobs)
-        due.sort(key=lambda j: (j.done.count < j.spec.shards, j.submitted))
-        for job in due:
+        now = trio.current_time()
+        due = []
+        for job in (ledger.jobs[uid] for uid in ledger.dirty):
+            over = job.done.count == job.spec.shards and not job.spec.endless
+            turned = not over and bool(job.shown_running) != any(a.phase == "running" for a in job.bound.values())
+            if over or turned or now - job.recorded_at >= C.PROGRESS_EVERY_S:
+                due.append((not over, not turned, job.recorded_at, job.order, job))
+        due.sort()
+        for *_, job in due:
             if not self._record(batch, job):
                 return
 
@@ -121,12 +166,13 @@
         uid = spec.uid
         results = ledger.unrecorded(uid)
         if job.done.count == spec.shards and not spec.endless:
-            chunks = [Remove(chunk_key(uid, n)) for n, _ in self._view.chunks(uid)][: max(0, batch.ops - 3)]
-            if not batch.room(1, 2 + len(chunks), 500):
+            chunks = self._view.chunks(uid) if spec.shards > C.CHUNK_SHARDS else []
+            parts_gone = [Remove(chunk_key(uid, n)) for n, _ in chunks][: max(0, batch.ops - 3)]
+            if not batch.room(1, 2 + len(parts_gone), 500):
                 return False
             record = final_record("done", spec, spec.shards, job.why)
             batch.conditions.append(Condition(job_key(uid), job.rev))
-            batch.writes += [Remove(job_key(uid)), Put(final_key(uid), record), *chunks]
+            batch.writes += [Remove(job_key(uid)), Put(final_key(uid), record), *parts_gone]
             batch.size += 500
 
             def finished(rev: int) -> None:
@@ -150,7 +196,10 @@
         ledger.dirty.discard(uid)
         job.dirty_chunks.difference_update(numbers)
 
+        job.recorded_at = trio.current_time()
+
         def written(rev: int) -> None:
+            job.shown_running = running
             job.rev = max(job.rev, rev)
             self._view.apply(job_key(uid), value, rev, True)
             _clear(results)
--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -68,6 +68,7 @@
         self.bound_until = float("-inf")  # a promise to a peer: no acquiring and no acting before this
         self.acquire_after = float("-inf")  # a fresh process waits out what it may have promised before
         self.deaf: Callable[[], bool] = lambda: False  # whether we lead but hear no worker any more
+        self._ended: set[int] = set()  # leases of earlier processes of ours that we tried to end, once each
         self.acquiring = False  # a try for the key is under way, so no promise can be given
         self.on_term: Callable[[int | None], None] = lambda term: None
         self._changed = trio.Event()
@@ -172,6 +173,8 @@
         changed = self._changed
         now = trio.current_time()
         free = self._view.loaded and self._view.leader() is None
+        if self._view.loaded and await self._end_former():
+            return
         wait = max(self.bound_until, self.acquire_after) - now
         if not free or self._watchdog.out() or wait > 0:
             with trio.move_on_after(max(wait, 0.02) if free and wait > 0 else self._t.ping_s):
@@ -190,12 +193,30 @@
         finally:
             self.acquiring = False
 
+    async def _end_former(self) -> bool:
+        """A process that is back at once finds the key of its former self, which is dead for certain, or one that a
+        request of its former self took after its end. Nobody pings it: ending it spares the wait for its lease."""
+        known = self._view.leader()
+        value = known[0] if known is not None else None
+        if not isinstance(value, dict) or value.get("label") != self._label:
+            return False
+        lease = value.get("lease")
+        if not isinstance(lease, int) or lease in self._ended:
+            return False
+        self._ended.add(lease)
+        log.info("ending the lease of an earlier process of ours")
+        try:
+            await self._store.revoke(lease, self._t.ping_s)
+        except (Unavailable, Ambiguous) as error:
+            log.debug("it ends by itself: %s", error)
+        return True
+
     async def _acquire(self) -> None:
         timeout = min(10.0, self._t.lease_s / 3)
         sent_at = trio.current_time()
         lease = await self._store.grant(self._t.lease_s, timeout)
         nonce = f"{self._rng.getrandbits(64):016x}"
-        value = {"label": self._label, "nonce": nonce}
+        value = {"label": self._label, "nonce": nonce, "lease": lease}
         try:
             txn = await self._store.multi([Condition(LEADER, 0)], [Put(LEADER, value, lease)], urgent=True)
             term = txn.rev if txn.ok else None
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -64,7 +64,8 @@
         self.catalog: Catalog | None = None
         self._catalog_raw: Any = None
         self._catalog_saved: Any = None
-        self.pusher = Pusher(make_client, self.elector.valid, self._fresh)
+        keep = max(8, int(facts.quota.sockets * C.PUSH_SOCKETS))
+        self.pusher = Pusher(make_client, self.elector.valid, self._fresh, keep)
         self.pusher.on_news = self._news
         self._labels = {m.label for m in settings.members}
         self._wake = trio.Event()
@@ -331,10 +332,12 @@
         self.pusher.start_due(ledger, self._nursery)
         for name in ledger.unheard:
             self.pusher.greet(ledger, name, ledger.unheard_addr.get(name, ""), self._nursery)
+        # A round's work is charged: leave as much time to answering as it took.
+        await trio.sleep(max(0.0, trio.current_time() - now))
 
     async def _record(self) -> None:
-        while self.recorder is not None and await self.recorder.step():
-            pass
+        if self.recorder is not None:
+            await self.recorder.step()
         if self._catalog_raw is not None and self._catalog_raw != self._catalog_saved and self.elector.valid():
             raw = self._catalog_raw
             try:
--- a/sorrelsill/serve.py
+++ b/sorrelsill/serve.py
@@ -37,7 +37,8 @@
     node = Node(settings, operator, random.Random())
     sockets = settings.facts.quota.sockets
     peers = C.PEER_SOCKETS if settings.members else 0
-    users = Server(node.handle, max(8, sockets - C.SOCKET_RESERVE - peers), "users")
+    pushes = max(8, int(sockets * C.PUSH_SOCKETS))
+    users = Server(node.handle, max(8, sockets - C.SOCKET_RESERVE - peers - pushes), "users")
     try:
         listeners = [(users, await _listen(settings.listen))]
         if settings.members:
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -5,13 +5,14 @@
   s/j/<uid>      a live job: description, finished tasks, counts
   s/d/<uid>/<n>  finished tasks of a very large job, one key per part
   s/f/<uid>      a job that is over, kept for ever
-  s/m/<host>     a machine that may have been given work
+  s/m/<part>     machines that may have been given work, those of one part in one map
   s/catalog      the machine types as last read
 """
 
 from __future__ import annotations
 
 import logging
+import zlib
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
@@ -43,7 +44,8 @@
 
 
 def roster_key(host: str) -> str:
-    return _ROSTER + host
+    """Machines share a few keys, so that hundreds that come or go together cost a few writes."""
+    return f"{_ROSTER}{zlib.crc32(host.encode()) % C.ROSTER_PARTS:02d}"
 
 
 class View:
@@ -75,7 +77,8 @@
         return [(int(k[len(head) :]), v) for k, (v, _) in self.keys.items() if k.startswith(head)]
 
     def roster(self) -> list[tuple[str, Any]]:
-        return [(k[len(_ROSTER) :], v) for k, (v, _) in self.keys.items() if k.startswith(_ROSTER)]
+        parts = [v for k, (v, _) in self.keys.items() if k.startswith(_ROSTER) and isinstance(v, dict)]
+        return [(name, value) for part in parts for name, value in part.items()]
 
     def leader(self) -> tuple[Any, int] | None:
         return self.keys.get(LEADER)
@@ -141,8 +144,13 @@
 
     async def run(self) -> None:
         """Follow for ever; whatever fails is tried again after a pause."""
+        last = float("-inf")
+        gap = 1.0 / (C.WATCH_SHARE * self._store.requests.rate)
         while True:
             try:
+                # Each change ends a watch: without a pause, hundreds of changes a second would take all requests.
+                await trio.sleep_until(max(last + gap, trio.current_time()))
+                last = trio.current_time()
                 if not self.loaded:
                     await self._load()
                 since = self.rev
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -48,14 +48,15 @@
     pushed_start: bool = False
     pushed_stop: bool = False
     clearable: bool = False
+    clear_after: float = float("-inf")  # a repeat of its direct start would run it again once it is cleared
+    shard: str = ""
 
-    @property
-    def shard(self) -> str:
-        return f"{self.uid}/{self.index}"
+    def __post_init__(self) -> None:
+        self.shard = f"{self.uid}/{self.index}"
 
     @property
-    def key(self) -> tuple[str, int, int]:
-        return self.uid, self.index, self.try_no
+    def key(self) -> tuple[str, int]:
+        return self.shard, self.try_no
 
 
 @dataclass(slots=True, eq=False)
@@ -69,7 +70,11 @@
     addr: str = ""
     tenure: int = 0
     serial: int = -1
+    hello_serial: int = -1  # of the last report proper; direct answers carry serials of the same count
     synced: bool = False  # has reported our term as its highest token: no older leader can order it about
+    hears: bool = False  # has shown in this session that answers or commands reach it: it may be given work
+    relearn: bool = False  # our token may be known to it from an earlier session: showing it proves no hearing
+    first_at: float | None = None  # receipt of the first report since it is not synced
     rostered: bool = False  # its roster key is committed
     answered_at: float | None = None  # receipt of the last report that we answered
     lost: bool = False  # its session's lease has run out; only a later session is believed
@@ -77,7 +82,9 @@
     draining: bool = False
     returning: bool = False
     faulty: bool = False
-    attempts: dict[tuple[str, int, int], Attempt] = field(default_factory=dict)
+    attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    live: int = 0  # attempts that hold room on it
+    unknown: int = 0  # tasks on it of jobs that are over or unknown, not yet gone
     cpus: float = 0.0
     gpus: float = 0.0
     memory: float = 0.0
@@ -86,6 +93,7 @@
     cap_memory: float = 0.0
     cache_gb: float = 0.0
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    fetching: set[str] = field(default_factory=set)  # images that tasks on it wait for
     idle_since: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
     seen_at: float = float("-inf")
@@ -100,6 +108,7 @@
     def usable(self) -> bool:
         return (
             self.synced
+            and self.hears
             and self.rostered
             and not self.lost
             and not self.draining
@@ -118,6 +127,7 @@
 
     def hold_image(self, bundle: str, size: float) -> None:
         """Guess the worker's cache: the most recently used images that fit."""
+        self.fetching.discard(bundle)
         self.images[bundle] = size
         self.images.move_to_end(bundle)
         while sum(self.images.values()) > self.cache_gb and len(self.images) > 1:
@@ -129,7 +139,7 @@
 
     __slots__ = (
         "accepted", "avoid", "bound", "cursor", "done", "dirty_chunks", "errors", "not_before", "old", "order",
-        "requeued", "rev", "shown_running", "spec", "submitted", "why", "zones",
+        "recorded_at", "requeued", "rev", "served_at", "shown_running", "spec", "submitted", "why", "zones",
     )  # fmt: skip
 
     def __init__(self, spec: Spec, done: ShardSet, rev: int, old: bool, now: float, why: list[str]) -> None:
@@ -138,6 +148,7 @@
         self.rev = rev
         self.old = old  # an earlier leader may have started tasks of it
         self.submitted = now
+        self.served_at = now  # when a task of it was last bound or ended
         self.accepted = 0.0  # time of day of the submission, as recorded
         self.why = why
         self.bound: dict[int, Attempt] = {}
@@ -148,7 +159,8 @@
         self.not_before = 0.0
         self.avoid: dict[str, float] = {}
         self.dirty_chunks: set[int] = set()
-        self.shown_running = 0
+        self.shown_running = 0  # tasks that run, as the record says
+        self.recorded_at = now
         self.order = 0
 
     @property
@@ -197,6 +209,16 @@
         self.hosts: dict[str, Host] = {}
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
+        self.by_job: dict[str, set[Attempt]] = {}  # all attempts on machines, exited ones too, by their job
+        self.to_roster: dict[str, Host] = {}  # machines whose roster entry has to be written
+        self.version = 0  # grows with each job that comes or is over
+        self.talk: dict[str, Host] = {}  # machines that may have orders not sent to them yet
+        self.evicting: dict[str, Host] = {}  # machines with a notice
+        self.unknown: dict[str, Host] = {}  # machines with tasks of jobs that are over or unknown
+        self.tombs: OrderedDict[str, tuple[float, int]] = OrderedDict()  # machines gone: session and serial last seen
+        self.mute_s = loss_s / 2
+        self._unheard_size: tuple[float, float] | None = None
+        self._swept_at = float("-inf")
         self.unheard: dict[str, str] = {}  # roster machines not yet heard with our token -> machine type
         self.unheard_addr: dict[str, str] = {}
         self.dirty: set[str] = set()  # jobs whose record has to be written
@@ -218,12 +240,12 @@
         self._orders += 1
         job.order = self._orders
         self.jobs[spec.uid] = job
+        self.version += 1
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.uid)
-        for host in self.hosts.values():
-            for attempt in host.attempts.values():
-                if attempt.uid == spec.uid and attempt.spec is None and not attempt.exited:
-                    self._adopt(attempt, job)
+        for attempt in list(self.by_job.get(spec.uid, ())):
+            if attempt.spec is None and not attempt.exited:
+                self._adopt(attempt, job)
         self.wake_placing = True
         return job
 
@@ -233,14 +255,15 @@
         self.dirty.discard(uid)
         if job is None:
             return
-        for attempt in list(job.bound.values()):
-            attempt.stop = True
-            attempt.wind_down = 0.0
-            attempt.stop_reason = "over"
-        for host in self.hosts.values():
-            for attempt in host.attempts.values():
-                if attempt.uid == uid and attempt.exited:
-                    attempt.clearable = True
+        self.version += 1
+        for attempt in self.by_job.get(uid, ()):
+            if attempt.exited:
+                attempt.clearable = True
+            else:
+                attempt.stop = True
+                attempt.wind_down = 0.0
+                attempt.stop_reason = "over"
+                self.talk[attempt.host.name] = attempt.host
         self.wake_placing = True
 
     # --- binding ---
@@ -254,37 +277,85 @@
         """`try_no` is given for gangs, whose tasks find each other by a common attempt number."""
         attempt = Attempt(job.spec.uid, index, try_no or self.next_try(), host, job.spec, now)
         self._attach(attempt, job)
+        self.talk[host.name] = host
+        job.served_at = now
+        if job.spec.bundle not in host.images:
+            host.fetching.add(job.spec.bundle)
         log.debug(
             "bind %s to %s, %.2f s after submission, image %s",
             attempt.shard, host.name, now - job.submitted, "there" if job.spec.bundle in host.images else "missing",
         )  # fmt: skip
         return attempt
 
-    def _attach(self, attempt: Attempt, job: Job | None) -> None:
-        host = attempt.host
-        host.attempts[attempt.key] = attempt
-        spec = attempt.spec
-        if spec is None:
+    def _enter(self, attempt: Attempt) -> None:
+        """An attempt is on a machine, as far as is known."""
+        attempt.host.attempts[attempt.key] = attempt
+        self.by_job.setdefault(attempt.uid, set()).add(attempt)
+        self._count_unknown(attempt, 1)
+
+    def _leave(self, attempt: Attempt) -> None:
+        """It is on no machine any more, nor reported."""
+        del attempt.host.attempts[attempt.key]
+        mine = self.by_job.get(attempt.uid)
+        if mine is not None:
+            mine.discard(attempt)
+            if not mine:
+                del self.by_job[attempt.uid]
+        if not attempt.exited:
+            self._count_unknown(attempt, -1)
+
+    def _count_unknown(self, attempt: Attempt, change: int) -> None:
+        """Tasks that no live job accounts for still run, and still count toward their team's limit."""
+        if attempt.spec is not None:
             return
+        host = attempt.host
+        host.unknown += change
+        if host.unknown > 0:
+            self.unknown[host.name] = host
+        else:
+            self.unknown.pop(host.name, None)
+
+    def _attach(self, attempt: Attempt, job: Job) -> None:
+        """Take room, limits and zones into account; `attempt.spec` is set already."""
+        self._enter(attempt)
+        self._take_room(attempt)
+        if attempt.index not in job.bound:
+            job.bound[attempt.index] = attempt
+            job.zones[attempt.host.zone] = job.zones.get(attempt.host.zone, 0) + 1
+
+    def _take_room(self, attempt: Attempt) -> None:
+        host, spec = attempt.host, attempt.spec
+        assert spec is not None
+        host.live += 1
         host.cpus += spec.cpus
         host.gpus += spec.gpus
         host.memory += spec.memory
         self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
         self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
-        if job is not None and attempt.index not in job.bound:
-            job.bound[attempt.index] = attempt
-            job.zones[host.zone] = job.zones.get(host.zone, 0) + 1
 
     def _adopt(self, attempt: Attempt, job: Job) -> None:
-        """A task that an earlier leader started. If it is one too many, it is stopped."""
+        """A task that an earlier leader started and that is on its machine. If it is one too many, it is stopped."""
         host = attempt.host
-        host.attempts.pop(attempt.key, None)
+        self._count_unknown(attempt, -1)
         attempt.spec = job.spec
-        keep = 0 <= attempt.index < job.spec.shards and attempt.index not in job.done and attempt.index not in job.bound
-        self._attach(attempt, job if keep else None)
+        self._take_room(attempt)
+        known = job.bound.get(attempt.index)
+        keep = 0 <= attempt.index < job.spec.shards and attempt.index not in job.done
+        if keep and known is not None:
+            # The later attempt was only made once the earlier one was proved gone. So the earlier is a phantom out
+            # of a late copy of a report, and must not cost the true one its place.
+            keep = attempt.try_no > known.try_no and known.try_no >> C.TRY_BITS < self.term
+            if keep:
+                job.zones[known.host.zone] = job.zones.get(known.host.zone, 1) - 1
+                known.stop = True
+                self.talk[known.host.name] = known.host
         attempt.stop = not keep
         if keep:
+            job.bound[attempt.index] = attempt
+            job.zones[host.zone] = job.zones.get(host.zone, 0) + 1
             self.dirty.add(job.spec.uid)
+        else:
+            self.talk[host.name] = host
 
     def _unbind(self, attempt: Attempt, now: float, requeue: bool = True) -> None:
         """The attempt is proved gone: give back what it held."""
@@ -292,6 +363,7 @@
         if spec is None:
             return
         attempt.spec = None
+        host.live -= 1
         host.cpus = max(0.0, host.cpus - spec.cpus)
         host.gpus = max(0.0, host.gpus - spec.gpus)
         host.memory = max(0.0, host.memory - spec.memory)
@@ -301,16 +373,18 @@
         if job is not None and job.bound.get(attempt.index) is attempt:
             del job.bound[attempt.index]
             job.zones[host.zone] = job.zones.get(host.zone, 1) - 1
+            job.served_at = now
             if requeue and attempt.index not in job.done:
                 heapq.heappush(job.requeued, attempt.index)
             self.dirty.add(spec.uid)
-        if not any(a.spec is not None for a in host.attempts.values() if a is not attempt):
+        if host.live == 0:
             host.idle_since = now
+            host.fetching.clear()
         self.wake_placing = True
 
     def take_back(self, attempt: Attempt, now: float) -> None:
         """Undo a binding whose start was certainly never sent: made and undone within one round."""
-        del attempt.host.attempts[attempt.key]
+        self._leave(attempt)
         self._unbind(attempt, now)
 
     def _release_all(self, host: Host, now: float, reason: str) -> None:
@@ -318,7 +392,7 @@
             job = self.jobs.get(attempt.uid)
             if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
                 job.note(f"task {attempt.index}: {reason} ({host.name})")
-            del host.attempts[attempt.key]
+            self._leave(attempt)
             self._unbind(attempt, now)
         host.cpus = host.gpus = host.memory = 0.0
 
@@ -328,6 +402,7 @@
         self.catalog = catalog
         for host in self.hosts.values():
             self._size(host)
+        self._unheard_size = None
         self.wake_placing = True
 
     def _size(self, host: Host) -> None:
@@ -351,6 +426,11 @@
             known = value if isinstance(value, dict) else {}
             self.unheard[name] = str(known.get("f", ""))
             self.unheard_addr[name] = str(known.get("a", ""))
+        self._unheard_size = None
+
+    def _heard(self, name: str) -> None:
+        if self.unheard.pop(name, None) is not None:
+            self._unheard_size = None
 
     def settled(self, job: Job) -> bool:
         """Whether everything an earlier leader may have started of a job is accounted for."""
@@ -360,43 +440,65 @@
         """CPUs and GPUs of what may be running unseen; it counts in full toward every team's limit. Besides
         machines not heard yet these are tasks of jobs that were over before this term began. Found in an
         incident: a job cancelled while nobody led was not counted, and its team went over its limit."""
-        kinds = [f for s in self.unheard.values() if (f := self.catalog.flavours.get(s))]
-        cpus, gpus = sum(f.cpus for f in kinds), sum(f.gpus for f in kinds)
-        for host in self.hosts.values():
-            if any(a.spec is None and not a.exited for a in host.attempts.values()):
-                cpus += max(0.0, host.cap_cpus - host.cpus)
-                gpus += max(0.0, host.cap_gpus - host.gpus)
+        if self._unheard_size is None:
+            kinds = [f for s in self.unheard.values() if (f := self.catalog.flavours.get(s))]
+            self._unheard_size = sum(f.cpus for f in kinds), sum(f.gpus for f in kinds)
+        cpus, gpus = self._unheard_size
+        for host in self.unknown.values():
+            cpus += max(0.0, host.cap_cpus - host.cpus)
+            gpus += max(0.0, host.cap_gpus - host.gpus)
         return cpus, gpus
 
     def gone_for_certain(self, name: str, now: float, reason: str) -> None:
-        """The machine was returned (answered 200), or is listed as failed."""
+        """The machine was returned (answered 200), or is listed as failed. Machine names are never used again, so
+        whatever still comes under this one is a late copy."""
         host = self.hosts.pop(name, None)
         if host is not None:
             self._release_all(host, now, reason)
-        self.unheard.pop(name, None)
+        self._bury(name, float("inf"), 0)
+        self._heard(name)
         self.gone.add(name)
         self.wake_placing = True
 
+    def drop(self, host: Host) -> None:
+        """Forget a machine that is lost and listed no more; should it be alive after all, a later session tells."""
+        del self.hosts[host.name]
+        self._bury(host.name, host.tenure, host.serial)
+
+    def _bury(self, name: str, tenure: float, serial: int) -> None:
+        for index in (self.talk, self.evicting, self.unknown, self.to_roster):
+            index.pop(name, None)
+        self.tombs[name] = (tenure, serial)
+        self.tombs.move_to_end(name)
+        while len(self.tombs) > C.TOMBS:
+            self.tombs.popitem(last=False)
+
     def sweep(self, now: float) -> list[Host]:
         """Declare lost what has been silent for longer than the workers' lease. Returns those machines."""
-        lost = []
+        lost: list[Host] = []
+        if now - self._swept_at < C.SWEEP_EVERY_S:
+            return lost
+        self._swept_at = now
         floor = self.renewed_by_others
+        # An older leader's last answers: its validity ran out before the key could go, but an early
+        # end of the key would let it answer for the rest of that time, so this is waited out as well.
+        older = max(floor, self.started + self.validity_s)
         for host in self.hosts.values():
             if host.lost or host.answered_at is None:
                 continue
-            if now - max(host.answered_at, floor) > self.loss_s:
+            if now - max(host.answered_at, older if host.name in self.unheard else floor) > self.loss_s:
                 host.lost = True
-                host.synced = False
+                host.synced = host.hears = False
+                host.relearn = True
+                host.first_at = None
                 host.rostered = False
                 self._release_all(host, now, "machine silent, work lost")
-                self.unheard.pop(host.name, None)
+                self._heard(host.name)
                 self.gone.add(host.name)
                 lost.append(host)
-        # An older leader's last answers: its validity ran out before the key could go, but an early
-        # end of the key would let it answer for the rest of that time, so this is waited out as well.
-        if self.unheard and now - max(self.started + self.validity_s, floor) > self.loss_s:
+        if self.unheard and now - older > self.loss_s:
             for name in [n for n in self.unheard if (h := self.hosts.get(n)) is None or h.answered_at is None]:
-                del self.unheard[name]
+                self._heard(name)
                 self.gone.add(name)
             self.wake_placing = True
         return lost
@@ -410,7 +512,7 @@
 
     def drain(self, now: float) -> None:
         """Let work on machines that are about to be taken save itself, as late as is safe."""
-        for host in self.hosts.values():
+        for host in self.evicting.values():
             if host.evict_at is None or host.lost:
                 continue
             for attempt in host.attempts.values():
@@ -423,63 +525,133 @@
     # --- reports ---
 
     def on_report(
-        self, report: M.Report, now: float, acting: bool = True, fresh: bool = True, renews: bool = True
+        self, report: M.Report, now: float, acting: bool = True, fresh: bool = True
     ) -> list[dict[str, Any]] | None:
         """Take a report in; the orders for the answer, or None if it must not be answered with 200.
         Without `acting` (standstill) there are no orders; without a `fresh` view of the jobs, no starts."""
         if report.epoch > self.term:
             raise Superseded(report.epoch)
+        if (report.tenure, report.serial) <= self.tombs.get(report.host, (0, 0)):
+            return None  # a late copy: the machine is gone
         host = self.host(report.host, report.flavour, report.region, report.reclaimable, now)
-        host.addr = report.addr or host.addr
-        if (report.tenure, report.serial) <= (host.tenure, host.serial):
+        if report.tenure < host.tenure or (report.tenure == host.tenure and report.serial <= host.hello_serial):
             return None  # late or repeated: its task list is older than what is known
+        if host.lost and report.tenure == host.tenure:
+            host.serial = max(host.serial, report.serial)
+            return None  # its lease is over by our clock: only its next session is believed
+        stale = report.tenure == host.tenure and report.serial < host.serial
+        # After anything but our 200 a worker goes on to the next controller, so a report that follows the last
+        # message directly shows that answers reach it. With one that does not, work waits for the next that does.
+        follows = report.tenure == host.tenure and report.serial == host.serial + 1
+        host.hello_serial = report.serial
+        if stale:
+            # Overtaken by an answer to a direct call, which told more. It is no copy, so its lease may go on.
+            if not host.synced:
+                return None
+            host.answered_at = self.heard_at = now
+            return []
+        known = host.serial >= 0
+        self._newer(host, report, now)
+        if not host.synced:
+            if host.first_at is None:
+                host.first_at = now
+            host.relearn |= not known and report.epoch == self.term
+            self._sync(host, report, follows or not host.relearn)
+        else:
+            host.hears = follows
+        self.heard_at = now
+        if not host.synced and host.first_at is not None and now - host.first_at > self.mute_s:
+            # Its reports arrive, our answers do not. Unanswered, its lease can run out, which is a proof.
+            self._reconcile(host, report, now, True)
+            return None
+        host.answered_at = now
+        self._reconcile(host, report, now, True)
+        return self.orders(host, fresh, now) if acting else []
+
+    def on_answer(self, report: M.Report, now: float) -> None:
+        """A worker's state in its answer to a direct call. It renews no lease, and since it may be older than the
+        answer to a report in flight, what it lacks may yet be started: absence proves less than in a report."""
+        if report.epoch > self.term or (report.tenure, report.serial) <= self.tombs.get(report.host, (0, 0)):
+            return
+        host = self.host(report.host, report.flavour, report.region, report.reclaimable, now)
+        if (report.tenure, report.serial) <= (host.tenure, host.serial):
+            return
+        if host.lost and report.tenure == host.tenure:
+            host.serial = report.serial
+            return
+        self._newer(host, report, now)
+        if report.epoch == self.term:
+            self._sync(host, report, True)
+            host.hears = True
+        if host.answered_at is None:
+            host.answered_at = now
+        self._reconcile(host, report, now, False)
+
+    def _newer(self, host: Host, report: M.Report, now: float) -> None:
+        """Session, serial and notice of a message that is newer than all before."""
+        host.addr = report.addr or host.addr
         if report.tenure > host.tenure:
             if host.tenure:
                 self._release_all(host, now, "worker's lease ran out")
-            host.images.clear() if host.tenure else None
+                host.images.clear()
+                host.relearn = True
+            host.hears = False
             host.tenure = report.tenure
             host.lost = False
-        elif host.lost:
-            host.serial = report.serial
-            return None  # its lease is over by our clock: only its next session is believed
+            host.hello_serial = -1
         host.serial = report.serial
         host.seen_at = now
-        if renews:
-            self.heard_at = now
-        if renews or host.answered_at is None:
-            host.answered_at = now
-        if report.epoch == self.term and not host.synced:
-            host.synced = True
-            if host.rostered or host.name in self.unheard:
-                host.rostered = True
-            self.unheard.pop(host.name, None)
-            self.wake_placing = True
         if report.evictInS is not None:
             host.evict_at = now + report.evictInS
-        self._reconcile(host, report, now)
-        return self.orders(host, fresh) if acting else []
+            self.evicting[host.name] = host
 
-    def on_answer(self, report: M.Report, now: float) -> None:
-        """A worker's state in its answer to a direct call: as good as a report, but it renews no lease."""
-        if report.epoch <= self.term:
-            self.on_report(report, now, acting=False, renews=False)
+    def _sync(self, host: Host, report: M.Report, hears: bool) -> None:
+        if report.epoch != self.term or host.synced:
+            return
+        host.synced = True
+        host.first_at = None
+        host.hears = hears
+        if host.rostered or host.name in self.unheard:
+            host.rostered = True
+        self._heard(host.name)
+        self.talk[host.name] = host
+        if not host.rostered:
+            self.to_roster[host.name] = host
+        self.wake_placing = True
 
-    def _reconcile(self, host: Host, report: M.Report, now: float) -> None:
-        seen = set()
+    def _reconcile(self, host: Host, report: M.Report, now: float, proper: bool) -> None:
+        """Take over what the worker says of its tasks; `proper`: in a report, not in a direct answer."""
+        attempts = host.attempts
+        seen = 0
         for item in report.shards:
-            uid, index = item.split()
-            key = (uid, index, item.tryNo)
-            seen.add(key)
-            attempt = host.attempts.get(key)
+            attempt = attempts.get((item.shard, item.tryNo))
             if attempt is None:
+                try:
+                    uid, index = item.split()
+                except ValueError as error:
+                    # Guards against one damaged entry hiding the machine's other tasks.
+                    log.error("report of %s: %s", host.name, error)
+                    continue
                 attempt = Attempt(uid, index, item.tryNo, host, None, now)
-                host.attempts[key] = attempt
+                if attempt.shard != item.shard:
+                    log.error("report of %s: task %s", host.name, item.shard[:80])
+                    continue
+                self._enter(attempt)
                 job = self.jobs.get(uid)
-                if job is not None and item.phase != "exited":
-                    self._adopt(attempt, job)
-                elif item.phase != "exited":
-                    attempt.stop = True
-            attempt.confirmed = True
+                if item.phase != "exited":
+                    if job is not None:
+                        self._adopt(attempt, job)
+                    else:
+                        attempt.stop = True
+                        self.talk[host.name] = host
+            elif attempt.phase == item.phase and attempt.confirmed:
+                seen += 1
+                continue
+            seen += 1
+            if not attempt.confirmed:
+                attempt.confirmed = True
+                if attempt.stop:
+                    self.talk[host.name] = host
             if attempt.exited:
                 continue
             if item.phase == "exited":
@@ -491,17 +663,20 @@
                 log.debug("runs %s on %s, %.2f s after it was bound", attempt.shard, host.name, now - attempt.created)
                 if attempt.spec is not None:
                     host.hold_image(attempt.spec.bundle, attempt.spec.bundle_gb)
-                    self.dirty.add(uid)
-        for key in [k for k in host.attempts if k not in seen]:
-            attempt = host.attempts[key]
+                    self.dirty.add(attempt.uid)
+        if seen == len(attempts):
+            return
+        names = {(item.shard, item.tryNo) for item in report.shards}
+        for attempt in [a for k, a in attempts.items() if k not in names]:
             if attempt.loose and not attempt.confirmed:
                 continue  # its direct start may still be executed, so its absence proves nothing
-            if attempt.exited or attempt.confirmed or attempt.stop:
+            if attempt.confirmed or (proper and (attempt.exited or attempt.stop)):
                 # Cleared, vanished, or never started and no longer wanted: this newer report proves it.
-                del host.attempts[key]
+                self._leave(attempt)
                 self._unbind(attempt, now)
 
     def _exited(self, attempt: Attempt, item: M.ShardReport, now: float) -> None:
+        self._count_unknown(attempt, -1)
         attempt.exited = True
         attempt.phase = "exited"
         job = self.jobs.get(attempt.uid)
@@ -519,9 +694,12 @@
             other = job.bound.get(attempt.index) if job is not None else None
             if other is not None and other is not attempt:
                 other.stop = True
+                self.talk[other.host.name] = other.host
             self._unbind(attempt, now, requeue=job is not None and job.spec.endless)
             return
         attempt.clearable = True
+        if attempt.pushed_start:
+            attempt.clear_after = now + C.REPEAT_S
         self._unbind(attempt, now)
         if job is None:
             return
@@ -541,18 +719,16 @@
 
     def unrecorded(self, uid: str) -> list[Attempt]:
         """Exited attempts whose result the next write of the record will hold."""
-        return [
-            a for h in self.hosts.values() for a in h.attempts.values() if a.uid == uid and a.exited and not a.clearable
-        ]
+        return [a for a in self.by_job.get(uid, ()) if a.exited and not a.clearable]
 
-    def orders(self, host: Host, fresh: bool) -> list[dict[str, Any]]:
+    def orders(self, host: Host, fresh: bool, now: float) -> list[dict[str, Any]]:
         """The difference between what is wanted on a machine and what its worker reported."""
         out = []
         for attempt in host.attempts.values():
             if attempt.exited:
                 # Only once no older leader can order a start any more: a repeated start after
                 # `clear` would run the task again.
-                if attempt.clearable and host.synced and not attempt.loose:
+                if attempt.clearable and host.synced and not attempt.loose and now >= attempt.clear_after:
                     out.append(M.clear(attempt.shard, attempt.try_no))
             elif attempt.stop:
                 if attempt.loose and not attempt.confirmed and host.synced:
@@ -612,6 +788,7 @@
             return
         attempt.stop = True
         attempt.stop_reason = reason
+        self.talk[attempt.host.name] = attempt.host
         spec = attempt.spec
         if spec is not None and spec.snapshot_s > 0 and not hurry:
             attempt.wind_down = spec.snapshot_cost_s + 1.0
--- a/sorrelsill/workers/messages.py
+++ b/sorrelsill/workers/messages.py
@@ -19,7 +19,11 @@
     saved: bool | None = None
 
     def split(self) -> tuple[str, int]:
-        uid, _, index = self.shard.rpartition("/")
+        """Job and task number; ValueError if it is no task's name. Asked only for attempts not known yet, since
+        a report names the same tasks again and again."""
+        uid, slash, index = self.shard.rpartition("/")
+        if not slash or not index.isdecimal():
+            raise ValueError(f"not a task: {self.shard[:80]!r}")
         return uid, int(index)
 
 
@@ -41,10 +45,7 @@
 
 def parse_report(body: bytes) -> Report:
     try:
-        report = _decoder.decode(body)
-        for shard in report.shards:
-            shard.split()
-        return report
+        return _decoder.decode(body)
     except (msgspec.DecodeError, ValueError) as error:
         raise BadReport(str(error)) from None
 
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -30,8 +30,11 @@
 class Pusher:
     """One call in flight per machine, a bounded number in all; a machine that fails is left alone a while."""
 
-    def __init__(self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool]) -> None:
+    def __init__(
+        self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool], keep: int
+    ) -> None:
         self._make = client
+        self._keep = keep  # machines to which a connection is kept
         self._valid = valid
         self._fresh = fresh
         self._clients: OrderedDict[str, Client] = OrderedDict()
@@ -43,7 +46,7 @@
         client = self._clients.get(addr)
         if client is None:
             client = self._clients[addr] = self._make(addr)
-            while len(self._clients) > C.PUSH_CLIENTS:
+            while len(self._clients) > self._keep:
                 self._clients.popitem(last=False)[1].close()
         self._clients.move_to_end(addr)
         return client
@@ -53,18 +56,25 @@
         now = trio.current_time()
         if not self._valid():
             return
-        for host in ledger.hosts.values():
+        fresh = self._fresh()
+        for host in list(ledger.talk.values()):
             if len(self._busy) >= C.PUSH_AT_ONCE:
                 return
-            if host.name in self._busy or not _usable(host.addr) or self._not_before.get(host.name, 0.0) > now:
+            if host.name in self._busy or self._not_before.get(host.name, 0.0) > now:
                 continue
-            if host.synced and not host.lost and ledger.has_direct(host, self._fresh()):
+            if host.lost or not host.synced or not _usable(host.addr) or not ledger.has_direct(host, True):
+                del ledger.talk[host.name]
+            elif ledger.has_direct(host, fresh):
+                # What becomes due while the call is under way puts the machine back among these.
+                del ledger.talk[host.name]
                 self._busy.add(host.name)
                 nursery.start_soon(self._push, ledger, host)
 
     def greet(self, ledger: Ledger, name: str, addr: str, nursery: trio.Nursery) -> None:
         """Show our token to a machine of the roster: its answer is its state, with nothing older to come."""
-        if name in self._busy or not _usable(addr) or self._not_before.get(name, 0.0) > trio.current_time():
+        if name in self._busy or self._not_before.get(name, 0.0) > trio.current_time() or not _usable(addr):
+            return
+        if len(self._busy) >= C.PUSH_AT_ONCE:
             return
         self._busy.add(name)
         nursery.start_soon(self._greet, ledger, name, addr)
@@ -84,7 +94,9 @@
                 self._later(host.name, str(error))
                 return
             except NoAnswer as error:
-                self._later(host.name, str(error))  # the attempts stay loose
+                # The attempts stay loose, and the machine gets no more work before it has shown that it hears.
+                host.hears = False
+                self._later(host.name, str(error))
                 return
             if status in (200, 400, 409):
                 ledger.direct_answered(attempts)
@@ -93,6 +105,8 @@
                 self._later(host.name, f"status {status}")
         finally:
             self._busy.discard(host.name)
+            if ledger.has_direct(host, True):
+                ledger.talk[host.name] = host
 
     async def _greet(self, ledger: Ledger, name: str, addr: str) -> None:
         try:
@@ -122,7 +136,7 @@
     def _later(self, name: str, why: str) -> None:
         log.debug("%s not reached: %s", name, why)
         self._not_before[name] = trio.current_time() + C.PUSH_BACKOFF_S
-        if len(self._not_before) > 4 * C.PUSH_CLIENTS:
+        if len(self._not_before) > 4 * self._keep:
             now = trio.current_time()
             self._not_before = {n: t for n, t in self._not_before.items() if t > now}
 
