Heads that h11 accepted are remembered; a worker has one connection; backlog by need

Cause: profiles at fleet size show h11's reading and writing of heads as the largest part of the leader's processor time (350 us a request of a plain report). A plain head is now asked of h11 once; anything else stays with h11. Ruled out: decoding (6 to 10 us a report). Sockets (suspected gap): a new connection of a machine ends its former one, idle time of workers' connections is the loss time, at the limit the longest idle user makes way and never a worker, the backlog is the limit itself.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -41,13 +41,18 @@
 HOST_ERRORS_SUSPECT: Final = 2  # distinct jobs failing on a machine before it is held faulty
 HOST_AVOID_S: Final = 120.0  # s; a machine that refused or failed a job's task is avoided for that job
 SWEEP_EVERY_S: Final = 0.25  # s; between two looks for machines silent past their lease
+SWEEP_TASKS: Final = 600  # tasks; given up as lost in one look, some 10 ms of work; the next look goes on from there
 REPEAT_S: Final = 120.0  # s; a repeat of a direct start may come this late: its task is cleared only after it
 TOMBS: Final = 4096  # machines that are gone, remembered so that late copies of their reports are refused
 TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
 
 PUSH_TIMEOUT_S: Final = 2.0  # s; for a worker's answer to orders sent straight to it
-PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long
-PUSH_AT_ONCE: Final = 32  # calls to workers in flight
+PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long, twice as long ...
+PUSH_BACKOFF_MAX_S: Final = 16.0  # s; ... each time up to this: silence that lasts should cost ever less
+PUSH_AT_ONCE: Final = 96  # calls to workers in flight: dozens of machines that hang at once must not take all of them
+GREET_AT_ONCE: Final = 24  # greetings in flight; starts don't queue behind them
+OVERDUE_OF_REPORT: Final = 1.25  # ratio; the longest interval between reports, of the usual one ...
+OVERDUE_EXTRA_S: Final = 1.0  # s; ... and this on top: a machine silent for longer gets no new work and no calls
 PUSH_SOCKETS: Final = 0.25  # ratio; of the quota of sockets, for connections kept to workers
 
 # --- state service ----------------------------------------------------------------------------------
@@ -60,10 +65,13 @@
 VIEW_STALE_S: Final = 3.0  # s; no start on a job view older than this
 RETRY_S: Final = 0.25  # s; pause after a failed store call in a loop
 FINAL_CACHE: Final = 20_000  # jobs; finished jobs whose final state is held in memory
+ENDED_KEPT: Final = 4096  # jobs; lately over, remembered for what they may still run
 CHUNK_SHARDS: Final = 16_384  # tasks; jobs above this keep finished tasks in keys of their own
 ROSTER_PARTS: Final = 32  # keys that share the roster: 20 machines each at 640, well within a small value
 WRITER_TICK_S: Final = 0.2  # s; finished tasks and changed states are gathered this long per write
-PROGRESS_EVERY_S: Final = 6.0  # s; the record of a job that goes on running is written this often
+PROGRESS_EVERY_S: Final = 6.0  # s; the record of a job that goes on running is written this often at the most ...
+PROGRESS_RESERVE: Final = 6  # writes; left over by progress for what is urgent next: two ends and two beginnings
+PROGRESS_SHARE: Final = 0.4  # ratio; ... and seldomer with many of them: of the leader's writes, what progress may use
 WATCH_SHARE: Final = 0.4  # ratio; of a node's requests to the store that its watch may use while changes come thick
 
 # --- users ------------------------------------------------------------------------------------------
@@ -83,7 +91,8 @@
 POOL_IDLE_S: Final = 20.0  # s; a kept client connection older than this is not used again
 POOL_MAX: Final = 8  # connections kept per address
 CONNECT_S: Final = 0.7  # s; a connection that takes longer is given up
-BACKLOG: Final = 256  # connections waiting to be accepted
+HEAD_PLAIN: Final = 1024  # bytes; longer heads are not remembered
+HEADS_KEPT: Final = 2048  # heads of requests and of answers remembered of each sort: some 2 MB at the most
 PEER_SOCKETS: Final = 16  # sockets; for connections from the other controllers
 
 # --- placement --------------------------------------------------------------------------------------
@@ -126,7 +135,8 @@
 PLAN_EVERY_S: Final = 1.0  # s; between two plans of what to rent, which take long when much waits; a boot takes longer
 FLEET_TICK_S: Final = 0.25  # s; between two looks at what to rent, list or return
 USE_LOG_S: Final = 10.0  # s; between two notes of the fleet's use in the debug log
-DRAIN_EVERY_S: Final = 5.0  # s; between two machines whose services are moved together elsewhere
+DRAIN_EVERY_S: Final = 5.0  # s; between two times that services are moved together elsewhere ...
+DRAIN_SHARE: Final = 0.01  # ratio; ... from this part of the machines at once, one at least; not while more are coming
 DRAIN_TRIES: Final = 8  # machines, worst used first, that are checked in detail for whether they can be emptied
 SETTLED_S: Final = 60.0  # s; a replica is moved for money only once it has run this long
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
--- a/sorrelsill/http/client.py
+++ b/sorrelsill/http/client.py
@@ -8,6 +8,7 @@
 import trio
 
 from sorrelsill import constants as C
+from sorrelsill.http import heads
 from sorrelsill.settings import split_addr
 
 
@@ -34,11 +35,11 @@
 
 
 class _Conn:
-    __slots__ = ("h11", "stream", "used")
+    __slots__ = ("kept", "stream", "used")
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
-        self.h11 = h11.Connection(h11.CLIENT)
+        self.kept = False  # the last exchange was whole and regular
         self.used = trio.current_time()
 
 
@@ -59,16 +60,10 @@
         with trio.move_on_after(timeout):
             try:
                 conn = self._take() or await self._open()
-                head = [("Host", self.addr), ("Content-Length", str(len(body)))]
-                if body:
-                    head.append(("Content-Type", "application/msgpack"))
-                data = conn.h11.send(h11.Request(method=method, target=target, headers=head)) or b""
-                if body:
-                    data += conn.h11.send(h11.Data(data=body)) or b""
-                data += conn.h11.send(h11.EndOfMessage()) or b""
+                data = heads.write_request(method, target, self.addr, len(body)) + body
                 sent = True
                 await conn.stream.send_all(data)
-                status, answer = await self._answer(conn)
+                status, answer = await self._answer(conn, method)
                 self._keep(conn)
                 conn = None
                 return status, answer
@@ -84,18 +79,40 @@
         while self._idle:
             _close_now(self._idle.pop().stream)
 
-    async def _answer(self, conn: _Conn) -> tuple[int, bytes]:
+    async def _answer(self, conn: _Conn, method: str) -> tuple[int, bytes]:
+        buffer = bytearray()
+        while (end := buffer.find(heads.END)) < 0 and len(buffer) <= C.HEAD_PLAIN:
+            if not await _more(conn, buffer):
+                break
+        end += len(heads.END)
+        head = heads.read_reply(bytes(buffer[:end])) if len(heads.END) <= end <= C.HEAD_PLAIN else None
+        if head is None:
+            return await self._by_h11(conn, method, buffer)
+        while len(buffer) < end + head.length:
+            if not await _more(conn, buffer):
+                raise OSError("connection closed before the answer")
+        conn.kept = len(buffer) == end + head.length
+        return head.status, bytes(buffer[end : end + head.length])
+
+    async def _by_h11(self, conn: _Conn, method: str, buffer: bytearray) -> tuple[int, bytes]:
+        """An answer whose head is not plain."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method=method, target="/", headers=[("Host", self.addr)]))
+        parser.send(h11.EndOfMessage())
+        if buffer:
+            parser.receive_data(bytes(buffer))
         status = 0
         chunks: list[bytes] = []
         while True:
-            event = conn.h11.next_event()
+            event = parser.next_event()
             if event is h11.NEED_DATA:
-                conn.h11.receive_data(bytes(await conn.stream.receive_some(65536)))
+                parser.receive_data(bytes(await conn.stream.receive_some(65536)))
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
+                conn.kept = parser.their_state is h11.DONE and parser.our_state is h11.DONE
                 return status, b"".join(chunks)
             elif not isinstance(event, h11.InformationalResponse):
                 raise OSError("connection closed before the answer")
@@ -115,14 +132,20 @@
         raise OSError("connecting took too long")
 
     def _keep(self, conn: _Conn) -> None:
-        if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE and len(self._idle) < C.POOL_MAX:
-            conn.h11.start_next_cycle()
+        if conn.kept and len(self._idle) < C.POOL_MAX:
+            conn.kept = False
             conn.used = trio.current_time()
             self._idle.append(conn)
         else:
             _close_now(conn.stream)
 
 
+async def _more(conn: _Conn, buffer: bytearray) -> bool:
+    data = await conn.stream.receive_some(65536)
+    buffer += data
+    return bool(data)
+
+
 def _close_now(stream: trio.abc.Stream) -> None:
     """Close without awaiting, where the stream allows it (a socket does)."""
     sock = getattr(stream, "socket", None)
--- a/sorrelsill/http/server.py
+++ b/sorrelsill/http/server.py
@@ -10,6 +10,7 @@
 import trio
 
 from sorrelsill import constants as C
+from sorrelsill.http import heads
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +29,7 @@
     body: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
     kind: str = "application/msgpack"
+    owner: str = ""  # who keeps this connection for good: its earlier one is dead
 
 
 Handler = Callable[[Request], Awaitable[Reply]]
@@ -37,61 +39,167 @@
     pass
 
 
+class _Link:
+    """One connection."""
+
+    __slots__ = ("busy", "buffer", "idle_s", "owner", "scope", "stream", "used")
+
+    def __init__(self, stream: trio.abc.Stream, idle_s: float) -> None:
+        self.stream = stream
+        self.scope = trio.CancelScope()
+        self.buffer = bytearray()
+        self.idle_s = idle_s
+        self.owner = ""
+        self.busy = False  # a request is being answered
+        self.used = trio.current_time()
+
+
 class Server:
-    """Serves one handler on any stream; `open` counts connections against the quota of sockets."""
+    """Serves one handler on any stream, at most `max_connections` at a time. Who owns a connection (a worker) has
+    only one: a new one ends the earlier, which a cut may have left dead, and none is ended for want of room."""
 
-    def __init__(self, handler: Handler, max_connections: int, name: str = "http") -> None:
+    def __init__(
+        self, handler: Handler, max_connections: int, name: str = "http", owner_idle_s: float = C.IDLE_S
+    ) -> None:
         self._handler = handler
         self._max = max_connections
         self._name = name
-        self.open = 0
+        self._owner_idle_s = owner_idle_s
+        self._links: set[_Link] = set()
+        self._owned: dict[str, _Link] = {}
+
+    @property
+    def open(self) -> int:
+        return len(self._links)
 
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
         """One connection, start to end. No exception leaves it, or the whole process would go down."""
-        if self.open >= self._max:
+        if self.open >= self._max and not self._make_room():
             # Guards against running out of sockets: our own calls to the store must still get theirs.
             with trio.move_on_after(1) as scope:
                 scope.shield = False
                 await trio.aclose_forcefully(stream)
             return
-        self.open += 1
+        link = _Link(stream, C.IDLE_S)
+        self._links.add(link)
         try:
-            await self._serve(stream)
+            await self._serve(link)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError, h11.LocalProtocolError):
             pass
         except Exception:
             log.exception("%s: connection failed", self._name)
         finally:
-            self.open -= 1
+            self._forget(link)
             await trio.aclose_forcefully(stream)
 
-    async def _serve(self, stream: trio.abc.Stream) -> None:
+    def _make_room(self) -> bool:
+        """End the connection that nobody has used for longest, but no worker's: a refused or ended one costs a worker
+        a second or more of its lease, a user only a new connection."""
+        idle = [k for k in self._links if not k.busy and not k.owner]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda k: k.used)
+        self._forget(oldest)
+        oldest.scope.cancel()
+        return True
+
+    def _forget(self, link: _Link) -> None:
+        self._links.discard(link)
+        if link.owner and self._owned.get(link.owner) is link:
+            del self._owned[link.owner]
+
+    def _own(self, link: _Link, owner: str) -> None:
+        """Found by reasoning: with half the machines cut and back, their dead connections and the new ones together
+        would have passed the quota of sockets."""
+        if link.owner == owner:
+            return
+        former = self._owned.get(owner)
+        link.owner = owner
+        link.idle_s = self._owner_idle_s
+        self._owned[owner] = link
+        if former is not None and not former.busy:
+            self._forget(former)
+            former.scope.cancel()
+
+    async def _serve(self, link: _Link) -> None:
+        with link.scope as scope:
+            while (request := await self._plain(link, scope)) is not None:
+                reply = await self._answer(request, link, scope)
+                head = heads.write_reply(reply.status, reply.kind, tuple(reply.headers), len(reply.body))
+                await link.stream.send_all(head + reply.body)
+                link.busy = False
+            if link.buffer:
+                await self._by_h11(link, scope)
+
+    async def _answer(self, request: Request, link: _Link, scope: trio.CancelScope) -> Reply:
+        scope.deadline = float("inf")
+        link.busy = True
+        try:
+            reply = await self._handler(request)
+        except Exception:
+            # Guards against one odd request taking the process down; the cause goes to the log.
+            log.exception("%s: %s %s failed", self._name, request.method, request.path)
+            reply = Reply(500)
+        link.used = trio.current_time()
+        if reply.owner:
+            self._own(link, reply.owner)
+        scope.deadline = link.used + C.REQUEST_S
+        return reply
+
+    async def _plain(self, link: _Link, scope: trio.CancelScope) -> Request | None:
+        """The next request if its head is plain; None at the end, or with what came left in the buffer for h11."""
+        scope.deadline = trio.current_time() + link.idle_s
+        buffer = link.buffer
+        searched = 0
+        while (end := buffer.find(heads.END, searched)) < 0:
+            if len(buffer) > C.HEAD_PLAIN:
+                return None
+            searched = max(0, len(buffer) - len(heads.END) + 1)
+            if buffer:
+                scope.deadline = min(scope.deadline, trio.current_time() + C.REQUEST_S)
+            if not await self._more(link):
+                return None
+        end += len(heads.END)
+        head = heads.read_request(bytes(buffer[:end])) if end <= C.HEAD_PLAIN else None
+        if head is None:
+            return None
+        if len(buffer) < end + head.length:
+            scope.deadline = trio.current_time() + C.REQUEST_S
+            while len(buffer) < end + head.length:
+                if not await self._more(link):
+                    return None
+        body = bytes(buffer[end : end + head.length])
+        del buffer[: end + head.length]
+        return Request(head.method, head.path, head.query, body)
+
+    async def _more(self, link: _Link) -> bool:
+        data = await link.stream.receive_some(65536)
+        link.buffer += data
+        return bool(data)
+
+    async def _by_h11(self, link: _Link, scope: trio.CancelScope) -> None:
+        """The rest of a connection whose heads are not plain."""
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=C.MAX_BODY // 4)
-        with trio.CancelScope() as scope:
-            while True:
-                scope.deadline = trio.current_time() + C.IDLE_S
-                try:
-                    request = await self._read(conn, stream, scope)
-                except h11.RemoteProtocolError:
-                    await self._refuse(conn, stream, 400)
-                    return
-                except _TooLong:
-                    await self._refuse(conn, stream, 413)
-                    return
-                if request is None:
-                    return
-                scope.deadline = float("inf")
-                try:
-                    reply = await self._handler(request)
-                except Exception:
-                    # Guards against one odd request taking the process down; the cause goes to the log.
-                    log.exception("%s: %s %s failed", self._name, request.method, request.path)
-                    reply = Reply(500)
-                scope.deadline = trio.current_time() + C.REQUEST_S
-                await stream.send_all(_encode(conn, reply))
-                if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-                    return
-                conn.start_next_cycle()
+        conn.receive_data(bytes(link.buffer))
+        stream = link.stream
+        while True:
+            scope.deadline = trio.current_time() + C.IDLE_S
+            try:
+                request = await self._read(conn, stream, scope)
+            except h11.RemoteProtocolError:
+                await self._refuse(conn, stream, 400)
+                return
+            except _TooLong:
+                await self._refuse(conn, stream, 413)
+                return
+            if request is None:
+                return
+            reply = await self._answer(request, link, scope)
+            await stream.send_all(_encode(conn, reply))
+            link.busy = False
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
 
     async def _read(self, conn: h11.Connection, stream: trio.abc.Stream, scope: trio.CancelScope) -> Request | None:
         head: h11.Request | None = None
--- a/sorrelsill/serve.py
+++ b/sorrelsill/serve.py
@@ -24,12 +24,12 @@
     """An address can't be listened on."""
 
 
-async def _listen(addr: str) -> trio.SocketListener:
-    """A listening socket on a numeric address, without any look-up."""
+async def _listen(addr: str, backlog: int) -> trio.SocketListener:
+    """A listening socket on a numeric address, without any look-up. After a takeover all workers come at once."""
     sock = trio.socket.socket()
     sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
     await sock.bind(split_addr(addr))
-    sock.listen(C.BACKLOG)
+    sock.listen(backlog)
     return trio.SocketListener(sock)
 
 
@@ -38,11 +38,13 @@
     sockets = settings.facts.quota.sockets
     peers = C.PEER_SOCKETS if settings.members else 0
     pushes = max(8, int(sockets * C.PUSH_SOCKETS))
-    users = Server(node.handle, max(8, sockets - C.SOCKET_RESERVE - peers - pushes), "users")
+    most = max(8, sockets - C.SOCKET_RESERVE - peers - pushes)
+    # A worker that is silent for a whole lease begins a new session, so its connection is good for nothing after that.
+    users = Server(node.handle, most, "users", node.timings.loss_s)
     try:
-        listeners = [(users, await _listen(settings.listen))]
+        listeners = [(users, await _listen(settings.listen, most))]
         if settings.members:
-            listeners.append((Server(node.handle_peer, peers, "peers"), await _listen(settings.peer_listen)))
+            listeners.append((Server(node.handle_peer, peers, "peers"), await _listen(settings.peer_listen, peers)))
     except OSError as error:
         raise ListenError(f"listen: {error}") from None
     log.info("%s serves on %s, lease %.1f s", settings.label, settings.listen, node.timings.lease_s)
