--- a/sorrelsill/fleet/consolidate.py
+++ b/sorrelsill/fleet/consolidate.py
@@ -24,21 +24,87 @@
     def fits(self, spec: Spec) -> bool:
         return self.cpus + 1e-6 >= spec.cpus and self.gpus + 1e-6 >= spec.gpus and self.memory + 1e-6 >= spec.memory
 
-    def take(self, spec: Spec) -> None:
-        self.cpus -= spec.cpus
-        self.gpus -= spec.gpus
-        self.memory -= spec.memory
+    def take(self, spec: Spec, sign: int = 1) -> None:
+        self.cpus -= sign * spec.cpus
+        self.gpus -= sign * spec.gpus
+        self.memory -= sign * spec.memory
 
 
-def machine_to_drain(
+class _Plan:
+    """What is moved where, machine by machine."""
+
+    def __init__(self, usable: list[Host], jobs: dict[str, Job]) -> None:
+        self.jobs = jobs
+        self.rooms = sorted((_Room(h) for h in usable), key=lambda r: r.cpus)
+        self.zones: dict[str, dict[str, int]] = {}  # job -> zone -> tasks
+        self.gone: set[str] = set()  # machines that are emptied
+        self.targets: set[str] = set()  # machines that are moved to: these stay
+
+    def move(self, host: Host) -> bool:
+        """Find a place for everything on a machine, or change nothing."""
+        made: list[tuple[_Room, Spec]] = []
+        tasks = [a for a in host.attempts.values() if a.spec is not None]
+        for attempt in sorted(tasks, key=lambda a: -(a.spec.cpus if a.spec is not None else 0.0)):
+            spec, job = attempt.spec, self.jobs.get(attempt.uid)
+            room = self._room_for(host, spec, job) if spec is not None and job is not None else None
+            if room is None or spec is None:
+                for taken, moved in made:
+                    self._shift(moved, taken.host.zone, host.zone)
+                    taken.take(moved, -1)
+                return False
+            self._shift(spec, host.zone, room.host.zone)
+            room.take(spec)
+            made.append((room, spec))
+        self.gone.add(host.name)
+        self.targets.update(room.host.name for room, _ in made)
+        return True
+
+    def _shift(self, spec: Spec, source: str, target: str) -> None:
+        zone = self.zones.setdefault(spec.uid, dict(self.jobs[spec.uid].zones))
+        zone[source] = zone.get(source, 0) - 1
+        zone[target] = zone.get(target, 0) + 1
+
+    def _room_for(self, host: Host, spec: Spec, job: Job) -> _Room | None:
+        if spec.one_zone:
+            return None
+        zone = self.zones.setdefault(spec.uid, dict(job.zones))
+        for room in self.rooms:
+            target = room.host
+            left = 1 if target.zone == host.zone else 0
+            if (
+                target is not host
+                and target.name not in self.gone
+                and room.fits(spec)
+                and target.allows(spec)
+                and spec.bundle in target.images
+                and zone.get(target.zone, 0) + 1 - left <= spec.zone_limit
+                and job.avoid.get(target.name, 0.0) <= 0.0
+            ):
+                return room
+        return None
+
+    def spares(self, spare: Spec | None, zones: list[str]) -> bool:
+        """Whether room for one more service is still ready in every zone."""
+        if spare is None:
+            return True
+        slots = dict.fromkeys(zones, 0)
+        for room in self.rooms:
+            if room.host.name not in self.gone and room.host.zone in slots and room.host.allows(spare):
+                more = int(min(room.cpus / max(spare.cpus, 0.1), room.memory / max(spare.memory, 0.1)) + 1e-6)
+                slots[room.host.zone] += max(0, more)
+        return all(n >= spare.zone_limit for n in slots.values())
+
+
+def machines_to_drain(
     hosts: Iterable[Host],
     jobs: dict[str, Job],
     now: float,
     price: Callable[[Host], float],
     spare: Spec | None,
     zones: list[str],
-) -> Host | None:
-    """The machine whose services fit on others that hold their images, dearest for what it carries first.
+    most: int = 1,
+) -> list[Host]:
+    """Machines whose services fit on others that hold their images, dearest for what they carry first.
     Room for one more service stays ready in every zone, or a machine would be rented again at once."""
     usable = [h for h in hosts if h.usable()]
     found: list[tuple[float, Host]] = []
@@ -54,40 +120,14 @@
             continue
         found.append((host.cpus / max(price(host), 1e-9), host))
     found.sort(key=lambda item: item[0])
-    return next((h for _, h in found[: C.DRAIN_TRIES] if _can_move(h, usable, jobs, spare, zones)), None)
-
-
-def _can_move(host: Host, usable: list[Host], jobs: dict[str, Job], spare: Spec | None, zones: list[str]) -> bool:
-    rooms = sorted((_Room(h) for h in usable if h is not host), key=lambda r: r.cpus)
-    counts: dict[str, dict[str, int]] = {}
-    tasks = [a for a in host.attempts.values() if a.spec is not None]
-    for attempt in sorted(tasks, key=lambda a: -(a.spec.cpus if a.spec is not None else 0.0)):
-        spec, job = attempt.spec, jobs.get(attempt.uid)
-        if spec is None or job is None or spec.one_zone:
-            return False
-        zone = counts.setdefault(attempt.uid, dict(job.zones))
-        zone[host.zone] = zone.get(host.zone, 0) - 1
-        for room in rooms:
-            target = room.host
-            if (
-                target.allows(spec)
-                and spec.bundle in target.images
-                and room.fits(spec)
-                and zone.get(target.zone, 0) + 1 <= spec.zone_limit
-                and job.avoid.get(target.name, 0.0) <= 0.0
-            ):
-                room.take(spec)
-                zone[target.zone] = zone.get(target.zone, 0) + 1
-                break
-        else:
-            return False
-    if spare is None:
-        return True
-    for name in zones:
-        slots = 0
-        for room in rooms:
-            if room.host.zone == name and room.host.allows(spare):
-                slots += int(min(room.cpus / max(spare.cpus, 0.1), room.memory / max(spare.memory, 0.1)) + 1e-6)
-        if slots < spare.zone_limit:
-            return False
-    return True
+    plan = _Plan(usable, jobs)
+    out: list[Host] = []
+    for _, host in found[: C.DRAIN_TRIES * most]:
+        if len(out) == most:
+            break
+        if host.name in plan.targets or not plan.move(host):
+            continue
+        if not plan.spares(spare, zones):
+            break
+        out.append(host)
+    return out
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -12,7 +12,7 @@
 
 from sorrelsill import constants as C
 from sorrelsill.fleet.catalog import Catalog, parse_catalog
-from sorrelsill.fleet.consolidate import machine_to_drain
+from sorrelsill.fleet.consolidate import machines_to_drain
 from sorrelsill.fleet.rentals import Need, Offer, Pending, overdue, plan
 from sorrelsill.http import Client, NoAnswer, NotSent
 from sorrelsill.settings import CloudLimits
@@ -103,6 +103,7 @@
         self._give_back: dict[str, str] = {}  # machine -> why it goes back
         self._drained_at = float("-inf")
         self._planned_at = float("-inf")
+        self._returns_at = float("-inf")
         self.on_drain: Callable[[], None] = lambda: None  # halts are due
         self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
 
@@ -115,7 +116,9 @@
                 return
         self._forget_arrived(now)
         self._report_use(now)
-        self._choose_returns(now)
+        if now - self._returns_at >= C.PLAN_EVERY_S:
+            self._returns_at = now
+            self._choose_returns(now)
         if now - self._listed_at >= C.LIST_EVERY_S:
             await self._read_list()
         if not self._valid():
@@ -225,7 +228,7 @@
 
     def _choose_returns(self, now: float) -> None:
         spare = self._spare_spec()
-        room = self._spare_room(spec=spare) if spare is not None else {}
+        room: dict[str, int] | None = None  # worked out only if a machine could go, since it walks all of them
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
                 continue
@@ -243,6 +246,8 @@
                 self._start_return(host, "drained")
             elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
                 if spare is not None and host.allows(spare):
+                    if room is None:
+                        room = self._spare_room(spare)
                     mine = self._spare_on(host, spare)
                     if room.get(host.zone, 0) - mine < spare.zone_limit:
                         continue  # giving it back would leave too little room ready
@@ -268,6 +273,7 @@
 
     def _start_return(self, host: Host, why: str) -> None:
         host.returning = True
+        self._ledger.look(host)
         self._give_back[host.name] = why
 
     async def _return(self) -> None:
@@ -278,10 +284,12 @@
             if host is not None and (host.live or host.unknown):
                 # It came back to life, with work: it stays.
                 host.returning = False
+                self._ledger.look(host)
                 del self._give_back[name]
                 continue
             if host is not None:
                 host.returning = True
+                self._ledger.look(host)
             names.append(name)
         names = names[: C.RETURN_MAX]
         if not names:
@@ -300,23 +308,28 @@
             self._ledger.gone_for_certain(name, now, "machine returned")
 
     def _consolidate(self, now: float) -> None:
-        """In quiet times, one machine at a time: its services move to fuller ones and it goes back."""
+        """In quiet times, a few machines at a time: their services move to fuller ones and they go back. One at a time
+        was too slow for hundreds, and so was waiting for a moment when none is coming up: there is none."""
         ledger = self._ledger
-        if self._hurried or self.pending or self._open or now - self._drained_at < C.DRAIN_EVERY_S:
+        if self._hurried or self._open or now - self._drained_at < C.DRAIN_EVERY_S:
             return
-        if any(u.count for u in self._demand()) or any(h.draining for h in ledger.hosts.values()) or ledger.unheard:
+        few = int(C.DRAIN_SHARE * len(ledger.ready))
+        if len(self.pending) > few or ledger.unheard:
             return
-        spare = self._spare_spec()
-        zones = sorted(self._spare_room(spare)) if spare is not None else []
-        host = machine_to_drain(ledger.hosts.values(), ledger.jobs, now, self._price, spare, zones)
-        if host is None:
+        if any(u.count for u in self._demand()) or any(h.draining for h in ledger.hosts.values()):
             return
         self._drained_at = now
-        log.info("draining %s: its services fit elsewhere", host.name)
-        host.draining = True
-        for attempt in list(host.attempts.values()):
-            ledger.stop(attempt, "moved to a fuller machine", hurry=True)
-        self.on_drain()
+        spare = self._spare_spec()
+        zones = sorted(self._spare_room(spare)) if spare is not None else []
+        hosts = machines_to_drain(ledger.ready.values(), ledger.jobs, now, self._price, spare, zones, max(1, few))
+        for host in hosts:
+            log.info("draining %s: its services fit elsewhere", host.name)
+            host.draining = True
+            ledger.look(host)
+            for attempt in list(host.attempts.values()):
+                ledger.stop(attempt, "moved to a fuller machine", hurry=True)
+        if hosts:
+            self.on_drain()
 
     def _price(self, host: Host) -> float:
         kind = self._ledger.catalog.flavours.get(host.flavour)
@@ -360,8 +373,8 @@
     def _spare_room(self, spec: Spec) -> dict[str, int]:
         """Tasks of this kind that could start at once, by zone: in free room or in place of lesser work."""
         room: dict[str, int] = {z: 0 for z in self._ledger.catalog.zones if spec.zone in (None, z)}
-        for host in self._ledger.hosts.values():
-            if host.usable() and host.allows(spec):
+        for host in self._ledger.ready.values():
+            if host.allows(spec):
                 room[host.zone] = room.get(host.zone, 0) + self._spare_on(host, spec)
         for p in self.pending.values():
             kind = self._ledger.catalog.flavours.get(p.flavour)
@@ -371,9 +384,12 @@
 
     @staticmethod
     def _spare_on(host: Host, spec: Spec) -> int:
-        kept = [a.spec for a in host.attempts.values() if a.spec is not None and a.spec.rank <= spec.rank]
-        cpus = host.cap_cpus - sum(s.cpus for s in kept)
-        memory = host.cap_memory - sum(s.memory for s in kept)
+        cpus, memory = host.cap_cpus, host.cap_memory
+        for attempt in host.attempts.values() if host.live else ():
+            kept = attempt.spec
+            if kept is not None and kept.rank <= spec.rank:
+                cpus -= kept.cpus
+                memory -= kept.memory
         return max(0, int(min(cpus / max(spec.cpus, 0.1), memory / max(spec.memory, 0.1)) + 1e-6))
 
     def _spare_needs(self) -> list[Need]:
