--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -124,6 +124,7 @@
 IDLE_OF_BOOT: Final = 0.5  # ratio; a machine without work is kept for this part of what another takes to boot (the
 #                            whole, the break-even of keeping against renting anew, cost more on measured days) ...
 IDLE_RETURN_HURRIED_S: Final = 600.0  # s; ... and for this long where aims leave no time to boot another
+HEADROOM: Final = 0.3  # ratio; of the CPUs in use, kept free where aims leave no time to boot: bursts come in minutes
 BOOT_SLOW: Final = 4.0  # ratio; a machine still booting after this times its boot time ...
 BOOT_EXTRA_S: Final = 30.0  # s; ... plus this is given up and returned
 SILENT_RETURN_S: Final = 30.0  # s; a machine whose work is lost and that stays silent goes back after this
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -362,7 +362,21 @@
                         patient,
                     )  # fmt: skip
                 )
-        return out + self._spare_needs()
+        return out + self._spare_needs() + (self._headroom() if self._hurried else [])
+
+    def _headroom(self) -> list[Need]:
+        """Where time counts, whole machines ahead of the work: in a burst of arrays a boot costs more than their run.
+        What is coming up is filled first, by the plan."""
+        kinds = list(self._ledger.catalog.flavours.values())
+        if not kinds:
+            return []
+        used = free = 0.0
+        for host in self._ledger.ready.values():
+            used += host.cpus
+            free += host.cap_cpus - host.cpus
+        kind = min(kinds, key=lambda f: f.cost(False) / max(f.cpus, 0.1))
+        missing = int((C.HEADROOM * used - free) / max(kind.cpus, 0.1))
+        return [Need(missing, kind.cpus, 0.0, kind.memory, None, None, True, None)] if missing > 0 else []
 
     def _spare_spec(self) -> Spec | None:
         """The largest live service of a class whose tasks should start within seconds: room for one more of
@@ -438,7 +452,10 @@
             in_zone[host.zone] = in_zone.get(host.zone, 0) + 1
         for p in self.pending.values():
             in_zone[p.zone] = in_zone.get(p.zone, 0) + 1
-        wanted = plan(self.needs(now), list(self.pending.values()), self._ledger.catalog, self.refused, now, in_zone)
+        wanted = plan(
+            self.needs(now), list(self.pending.values()), self._ledger.catalog, self.refused, now, in_zone,
+            self._hurried,
+        )  # fmt: skip
         for offer, count in sorted(wanted.items(), key=lambda i: -i[1]):
             self._counter += 1
             ref = f"r-{self._ledger.term}-{self._counter}"
--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -48,9 +48,10 @@
 
 def plan(
     needs: list[Need], pending: list[Pending], catalog: Catalog, refused: dict[Offer, float], now: float,
-    in_zone: dict[str, int],
+    in_zone: dict[str, int], hurried: bool = False,
 ) -> dict[Offer, int]:  # fmt: skip
-    """Machines to rent: first-fit into what is already on its way, then the cheapest offer per task."""
+    """Machines to rent: first-fit into what is already on its way, then the cheapest offer per task; where time
+    counts and not money, an ordinary one first, since a task lost with a spot machine makes its whole job late."""
     bins = []
     for p in pending:
         kind = catalog.flavours.get(p.flavour)
@@ -65,7 +66,7 @@
                 break
             left -= _fill(need, b, left, zones)
         while left > 0:
-            offer = _best_offer(need, catalog, refused, now, zones, in_zone, wanted)
+            offer = _best_offer(need, catalog, refused, now, zones, in_zone, wanted, hurried)
             if offer is None:
                 break
             kind = catalog.flavours[offer[0]]
@@ -114,9 +115,9 @@
 
 def _best_offer(
     need: Need, catalog: Catalog, refused: dict[Offer, float], now: float, zones: dict[str, int],
-    in_zone: dict[str, int], wanted: dict[Offer, int],
+    in_zone: dict[str, int], wanted: dict[Offer, int], hurried: bool,
 ) -> Offer | None:  # fmt: skip
-    best: tuple[tuple[float, int, str], Offer] | None = None
+    best: tuple[tuple[bool, float, int, str], Offer] | None = None
     for kind in catalog.flavours.values():
         most = _capacity(need, kind.cpus, kind.gpus, kind.memory)
         if most <= 0:
@@ -133,7 +134,7 @@
                 # Whole machines only pay off if they are filled, so a small need looks for a small machine.
                 cost = kind.cost(spot) / min(most, need.count)
                 have = in_zone.get(zone, 0) + sum(n for o, n in wanted.items() if o[1] == zone)
-                key = (round(cost, 6), have, zone)
+                key = (hurried and spot, round(cost, 6), have, zone)
                 if best is None or key < best[0]:
                     best = (key, offer)
     return best[1] if best is not None else None
--- a/sorrelsill/stories/test_fleet.py
+++ b/sorrelsill/stories/test_fleet.py
@@ -170,6 +170,17 @@
     assert not fleet.ledger.unheard and fleet.ledger.unseen("red") == (0.0, 0.0)
 
 
+def test_a_damaged_or_older_roster_entry_holds_back_whatever_may_run_there() -> None:
+    fleet = Fleet(60)
+    for number, entry in enumerate(({"f": "std", "a": "10.1.9.9:9000"}, None, {"f": 7, "z": 7, "s": 7})):
+        fleet.ledger.expect([(f"m-old-{number}", entry)])
+        fleet.add(work(f"run-{number}", shards=10, owner="red", flavours=["std"], region="a", reclaimable=False), True)
+        assert not fleet.ledger.settled(fleet.ledger.jobs[f"run-{number}"])
+    assert fleet.ledger.unseen("red")[0] > 1000, "of a type that is not known the size is not known either"
+    fleet.ledger.expect_over([])
+    assert fleet.ledger.unseen("red") == (30.0, 0.0)
+
+
 class _Silent(Client):
     """A machine that hangs: calls run into their time-out."""
 
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -204,7 +204,7 @@
 
 def _may_hold(sort: Sort, spec: Spec) -> bool:
     flavour, zone, spot = sort
-    if spec.flavours is not None and flavour not in spec.flavours or spot and not spec.spot:
+    if spec.flavours is not None and flavour and flavour not in spec.flavours or spot and not spec.spot:
         return False
     return spec.zone is None or zone is None or zone == spec.zone
 
@@ -494,9 +494,11 @@
         """Machines that an earlier leader may have given work: they have to be heard, or time out."""
         for name, value in roster:
             known = value if isinstance(value, dict) else {}
-            zone, spot = known.get("z"), known.get("s")
+            flavour, zone, spot = known.get("f"), known.get("z"), known.get("s")
             # An entry of an earlier version lacks zone and kind: the machine may be any.
-            sort = str(known.get("f", "")), zone if isinstance(zone, str) else None, spot is True
+            sort = (
+                flavour if isinstance(flavour, str) else "", zone if isinstance(zone, str) else None, spot is True
+            )  # fmt: skip
             self.unheard[name] = sort
             self.unheard_sorts[sort] = self.unheard_sorts.get(sort, 0) + 1
             self.unheard_addr[name] = str(known.get("a", ""))
@@ -550,8 +552,13 @@
         return cpus, gpus
 
     def _count_unseen(self) -> tuple[tuple[float, float], dict[str, tuple[float, float]] | None]:
-        kinds = [(f, n) for s, n in self.unheard_sorts.items() if (f := self.catalog.flavours.get(s[0]))]
-        size = sum(f.cpus * n for f, n in kinds), sum(f.gpus * n for f, n in kinds)
+        cpus = gpus = 0.0
+        for (flavour, _, _), count in self.unheard_sorts.items():
+            kind = self.catalog.flavours.get(flavour)
+            # A type that is not known may be of any size.
+            cpus += kind.cpus * count if kind is not None else float("inf")
+            gpus += kind.gpus * count if kind is not None else float("inf")
+        size = cpus, gpus
         if self.over_unseen is None or not self.unheard:
             return size, None
         by_team = dict(self.over_unseen)
@@ -737,8 +744,8 @@
         host.addr = report.addr or host.addr
         if report.tenure > host.tenure:
             if host.tenure:
+                # Its images stay: seen on a measured day, work that came back to such machines began at once.
                 self._release_all(host, now, "worker's lease ran out")
-                self._unhold_all(host)
                 host.relearn = True
             host.hears = False
             self.look(host)
