--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -176,7 +176,10 @@
         now = trio.current_time()
         accepted = float(value.get("t") or 0.0)
         age = max(0.0, self._time_of_day() - accepted)
-        ledger.add_job(spec, done, rev, rev <= ledger.term, now - age, why, accepted)
+        job = ledger.add_job(spec, done, rev, rev <= ledger.term, now - age, why, accepted)
+        # What the record says already need not be written again: after a takeover that would be one write a job.
+        running = value.get("r")
+        job.shown_running = running if isinstance(running, int) else 0
         return True
 
     def _on_catalog(self, raw: dict[str, Any], catalog: Catalog) -> None:
