--- a/sorrelsill/standins/worker.py
+++ b/sorrelsill/standins/worker.py
@@ -53,8 +53,8 @@
     def _spec(self, shard: str) -> dict[str, Any]:
         return self._specs[shard.rpartition("/")[0]]
 
-    def advance(self) -> None:
-        """Let time pass for the tasks and for the lease."""
+    def end_lease(self) -> None:
+        """Also while it hangs: it resumes within its lease or without its tasks."""
         now = trio.current_time()
         if now - self.answered > self.lease_s:
             for shard in list(self.on):
@@ -63,6 +63,11 @@
             self.tenure += 1
             self.answered = now
             self._changed()
+
+    def advance(self) -> None:
+        """Let time pass for the tasks and for the lease."""
+        now = trio.current_time()
+        self.end_lease()
         for (shard, _), task in self.tasks.items():
             spec = self._spec(shard)
             if task["phase"] == "pulling" and now >= task["at"] + spec["sizeGb"]:
@@ -183,6 +188,5 @@
 
     async def live(self) -> None:
         while not self.dead:
-            if not self.hung:
-                self.advance()
+            (self.end_lease if self.hung else self.advance)()
             await trio.sleep(0.1)
