Groups: placed, stopped and started anew as wholes; stand-in workers know them

Placement judges a whole group by zone, image and machines of one type; the ledger stops what is left of a group that is not whole, and completes all tasks with the first that is done.

--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -355,7 +355,7 @@
                         spec.gpus,
                         spec.memory,
                         spec.flavours,
-                        spec.zone,
+                        spec.zone or item.zone,
                         spec.spot,
                         spec.zone_limit if spec.scatter else None,
                         dict(job.zones),
--- a/sorrelsill/jobs/messages.py
+++ b/sorrelsill/jobs/messages.py
@@ -50,6 +50,11 @@
     def endless(self) -> bool:
         return self.shape == STANDING
 
+    @property
+    def whole(self) -> bool:
+        """Its tasks run at the same time or not at all, and complete together."""
+        return self.shape == GANG
+
     @property
     def zone_limit(self) -> int:
         """Most tasks of the job that may be in one zone at a time."""
@@ -109,7 +114,7 @@
         raise BadJob("uid: must look like run-000412")
     shape = raw.get("shape")
     if shape not in (SWEEP, STANDING, GANG):
-        raise BadJob("shape: must be sweep or standing")
+        raise BadJob("shape: must be sweep, standing or group")
     rank = raw.get("rank")
     if not isinstance(rank, str) or rank not in RANKS:
         raise BadJob("rank: must be prod, high, standard or best_effort")
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -23,7 +23,7 @@
 from sorrelsill.settings import Operator, Settings, Timings
 from sorrelsill.store import CATALOG, LEADER, Condition, Put, Store, Unavailable, View
 from sorrelsill.store import Ambiguous as StoreAmbiguous
-from sorrelsill.workers import BadReport, Ledger, Pusher, Report, Superseded, halt, parse_report
+from sorrelsill.workers import BadReport, Ledger, Pusher, Report, Superseded, halt, parse_report, tend
 
 log = logging.getLogger(__name__)
 
@@ -85,7 +85,8 @@
         now = trio.current_time()
         timings = self.timings
         ledger = Ledger(
-            term, now, self.catalog or Catalog({}), timings.loss_s, timings.validity_s, timings.overdue_s
+            term, now, self.catalog or Catalog({}), timings.loss_s, timings.validity_s, timings.overdue_s,
+            self.settings.facts.workers.gang_peer_s,
         )  # fmt: skip
         ledger.renewed_by_others = min(now, self.elector.bound_until)
         ledger.expect(self.view.roster())
@@ -358,6 +359,7 @@
         for host in lost:
             log.info("%s is silent past its lease: its work is lost", host.name)
         ledger.drain(now)
+        tend(ledger)
         ledger.wake_placing = False
         if not self.placer.round(ledger, now, trio.current_time, C.ROUND_BUDGET_S) or lost:
             self._wake.set()
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -12,9 +12,10 @@
 from dataclasses import dataclass
 
 from sorrelsill import constants as C
-from sorrelsill.jobs import GANG, Spec
+from sorrelsill.jobs import Spec
+from sorrelsill.placement import groups
 from sorrelsill.settings import Objective, Team
-from sorrelsill.workers import Attempt, Host, Job, Ledger
+from sorrelsill.workers import Attempt, Host, Job, Ledger, group_loss
 
 log = logging.getLogger(__name__)
 
@@ -23,11 +24,13 @@
 
 @dataclass(slots=True)
 class Unplaced:
-    """A job with tasks that found no room; `limited` means that its team's limit stands in the way."""
+    """A job with tasks that found no room; `limited` means that its team's limit stands in the way, `zone` is where
+    a group that has to be in one zone lacks least."""
 
     job: Job
     count: int
     limited: bool = False
+    zone: str | None = None
 
 
 class _Pool:
@@ -63,6 +66,7 @@
         self._left: list[str] = []  # jobs that the last round did not get to
         self._claims: dict[str, list[float]] = {}  # job -> until when room made for one of its tasks is awaited
         self._reserved: dict[str, tuple[str, float]] = {}  # machine -> job that room is made for there, until when
+        self._held: dict[str, tuple[str, int, float]] = {}  # machine -> group it fills up for, its rank, until when
         self._warm_until: dict[str, float] = {}  # job -> until when room on machines with its image is awaited
         self._barren: dict[tuple[object, ...], float] = {}  # kind of work -> until when no room is looked for
         self.unplaced: dict[str, Unplaced] = {}
@@ -76,6 +80,7 @@
         self._warm_until.clear()
         self._barren.clear()
         self._reserved.clear()
+        self._held.clear()
         self.unplaced.clear()
 
     # --- order and shares ---
@@ -152,6 +157,10 @@
                 for host, (uid, until) in self._reserved.items()
                 if until > now and (job := ledger.jobs.get(uid)) is not None and job.waiting
             }
+            self._held = {
+                host: held for host, held in self._held.items()
+                if held[2] > now and (job := ledger.jobs.get(held[0])) is not None and job.waiting
+            }  # fmt: skip
             self._warm_until = {u: t for u, t in self._warm_until.items() if u in ledger.jobs}
         hosts = list(ledger.ready.values())
         full: set[tuple[object, ...]] = set()
@@ -173,9 +182,9 @@
         self.unplaced.pop(spec.uid, None)
         if not ledger.settled(job) or job.not_before > now:
             return True
-        if spec.shape == GANG:
-            self._place_gang(ledger, job, now)
-            return True
+        if spec.whole:
+            self._place_group(ledger, job, hosts, full, now)
+            return not late()
         limited = False
         sign = (spec.flavours, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot)
         plain = not (spec.scatter or spec.one_zone or job.avoid)
@@ -213,24 +222,106 @@
                     self._hold(ledger, job, now)
         return True
 
-    def _place_gang(self, ledger: Ledger, job: Job, now: float) -> None:
-        """All tasks at once or none: nothing is sent before all of them are bound."""
+    def _place_group(
+        self, ledger: Ledger, job: Job, hosts: list[Host], full: set[tuple[object, ...]], now: float
+    ) -> None:
+        """All tasks at once, under one attempt number, or none: nothing is bound before all have their place."""
         spec = job.spec
-        made: list[Attempt] = []
-        if job.bound:
-            return  # what is left of the last try ends by itself; only a whole group starts together
-        limited = not self._under_limit(ledger, spec, job.waiting)
-        try_no = ledger.next_try()
-        while not limited and (index := job.next_shard()) is not None:
-            host = self.choose(ledger, job, now)
-            if host is None:
-                for attempt in made:
-                    ledger.take_back(attempt, now)
-                break
-            made.append(ledger.bind(job, index, host, now, try_no))
-        if job.waiting > 0:
-            self.unplaced[spec.uid] = Unplaced(job, job.waiting, limited)
-            job.note("waiting: the whole group does not fit at once")
+        if job.bound or ledger.alive(spec.uid):
+            return  # what is left of the last start is ending; its places and its zone are not free before
+        if not self._under_limit(ledger, spec, job.waiting):
+            self.unplaced[spec.uid] = Unplaced(job, job.waiting, True)
+            job.note(f"waiting: the limit of {spec.team} is reached")
+            return
+        sign = ("group", spec.flavours, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot, spec.shards)
+        mine = any(uid == spec.uid for uid, _ in self._reserved.values())
+        if sign in full and not mine and not self._holds(spec.uid):
+            self.unplaced[spec.uid] = Unplaced(job, job.waiting, False, spec.zone)
+            return
+        room = [h for h in (ledger.free if spec.cpus > 0 else ledger.ready).values() if self._may(job, h, now)]
+        zones = [z for z in ledger.catalog.zones if spec.zone in (None, z)]
+        seatings = groups.seat(spec, room, zones)
+        if seatings and not seatings[0].short:
+            try_no = ledger.next_try()
+            places = [s.host for s in seatings[0].seats for _ in range(s.count)]
+            for index, host in enumerate(places):
+                ledger.bind(job, index, host, now, try_no)
+            self._release(spec.uid)
+            return
+        full.add(sign)
+        job.note("waiting: the whole group does not fit at once")
+        if self._claimed(job, now):
+            return  # room is being made
+        if seatings and not self._make_room_group(ledger, job, seatings, hosts, now):
+            self._hold_group(job, seatings, hosts, now)
+        best = seatings[0] if seatings else None
+        if not self._claimed(job, now):
+            self.unplaced[spec.uid] = Unplaced(
+                job,
+                best.short if best is not None else job.waiting,
+                False,
+                best.zone if best is not None else spec.zone,
+            )
+
+    def _release(self, uid: str) -> None:
+        """The job has its places: what was kept for it is free for others."""
+        self._claims.pop(uid, None)
+        self._reserved = {h: r for h, r in self._reserved.items() if r[0] != uid}
+        self._held = {h: r for h, r in self._held.items() if r[0] != uid}
+
+    def _holds(self, uid: str) -> bool:
+        return any(held[0] == uid for held in self._held.values())
+
+    def _make_room_group(
+        self, ledger: Ledger, job: Job, seatings: list[groups.Seating], hosts: list[Host], now: float
+    ) -> bool:
+        """Stop lesser work if that lets the whole group in; the machines are reserved until it is gone."""
+        spec = job.spec
+        if not any(host.live for host in hosts):
+            return False
+        kind = ("group", spec.rank, spec.team, spec.uid in self.guaranteed, spec.cpus, spec.shards, spec.spot)
+        if self._barren.get(kind, float("-inf")) > now:
+            return False
+        may = [
+            h for h in self._rng.sample(hosts, min(len(hosts), C.PREEMPT_SAMPLE * C.GROUP_SAMPLES))
+            if h.live and h.usable() and h.allows(spec) and self._open_to(job, h, now)
+        ]  # fmt: skip
+        found = groups.room_for(spec, seatings, may, lambda h: self._victims(ledger, job, h, now))
+        if found is None:
+            self._barren[kind] = now + C.BARREN_S
+            return False
+        seating, victims = found
+        log.debug("room for %s in %s: %s", spec.uid, seating.zone, [f"{a.shard} on {a.host.name}" for a in victims])
+        wait = C.CLAIM_S
+        for attempt in victims:
+            ledger.stop(attempt, f"making room for {spec.uid}", hurry=spec.rank == _PROD)
+            wait = max(wait, C.CLAIM_S + attempt.wind_down)
+        self._claims[spec.uid] = [now + wait] * spec.shards
+        for s in seating.seats:
+            self._reserved[s.host.name] = (spec.uid, now + wait)
+        return True
+
+    def _hold_group(self, job: Job, seatings: list[groups.Seating], hosts: list[Host], now: float) -> None:
+        """Keep machines filling up for a group, or small tasks would take each gap for ever: for one that should start
+        within seconds at once, for others once they waited too long; few at a time, so that arrays go on too."""
+        spec = job.spec
+        if self._holds(spec.uid) or not (spec.workload in self._start_within or aged_out(job, now)):
+            return
+        if len(self._held) >= C.GROUP_HOLD_SHARE * len(hosts):
+            return
+        may = [h for h in hosts if h.allows(spec) and self._open_to(job, h, now) and h.name not in self._held]
+        for host in groups.worth_holding(spec, seatings, may)[1]:
+            self._held[host.name] = (spec.uid, spec.rank, now + C.GROUP_HOLD_S)
+
+    def _open_to(self, job: Job, host: Host, now: float) -> bool:
+        """Whether nothing keeps the job off a machine that it may use: room made for others, or its own bad luck."""
+        holder, until = self._reserved.get(host.name, (job.spec.uid, 0.0))
+        held, rank, till = self._held.get(host.name, (job.spec.uid, 0, 0.0))
+        return (
+            (holder == job.spec.uid or until <= now)
+            and (held == job.spec.uid or till <= now or job.spec.rank < rank)
+            and job.avoid.get(host.name, 0.0) <= now
+        )
 
     def choose(self, ledger: Ledger, job: Job, now: float) -> Host | None:
         """Best fit for one task among a sample of the machines."""
@@ -302,8 +393,7 @@
         if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
             return False
         # Without the reservation small tasks take what is freed piece by piece, and more is stopped for nothing.
-        holder, until = self._reserved.get(host.name, (spec.uid, 0.0))
-        return (holder == spec.uid or until <= now) and job.avoid.get(host.name, 0.0) <= now
+        return self._open_to(job, host, now)
 
     def _spreads(self, job: Job) -> bool:
         """Replicas that should start within seconds go to many machines: each then holds the image for the next ones,
@@ -406,6 +496,12 @@
             made += 1
         return made
 
+    @staticmethod
+    def _loss(ledger: Ledger, attempt: Attempt, now: float) -> float:
+        """Seconds of work thrown away; of a group, by all of its tasks."""
+        group = ledger.groups.get(attempt.uid)
+        return group_loss(group, now) if group is not None else lost_work(attempt, now)
+
     def _victims(self, ledger: Ledger, job: Job, host: Host, now: float) -> tuple[float, list[Attempt]] | None:
         spec = job.spec
         cpus, gpus, memory = host.cap_cpus - host.cpus, host.cap_gpus - host.gpus, host.cap_memory - host.memory
@@ -413,7 +509,7 @@
         if any(a.stop and a.spec is not None and a.stop_reason == mine for a in host.attempts.values()):
             return None  # room is being made here for this job already
         can = [a for a in host.attempts.values() if not a.stop and self._may_stop(ledger, job, a)]
-        can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), lost_work(a, now)))
+        can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), self._loss(ledger, a, now)))
         cost, chosen = 0.0, []
         for attempt in can:
             if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory:
@@ -421,7 +517,7 @@
             victim = attempt.spec
             assert victim is not None
             cpus, gpus, memory = cpus + victim.cpus, gpus + victim.gpus, memory + victim.memory
-            cost += lost_work(attempt, now) * victim.cpus
+            cost += self._loss(ledger, attempt, now) * victim.cpus
             chosen.append(attempt)
         if not chosen or cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory:
             return None
--- /dev/null
+++ b/sorrelsill/placement/groups.py
@@ -0,0 +1,163 @@
+"""Where a group goes as a whole: pure decisions over machines that may take tasks of it.
+
+A task of a group that waits for the others occupies its place for nothing, so the whole is judged at once: by zone,
+with the image at hand, on few machines of one type, since the slowest sets the pace. Unlike single tasks it is not judged on
+a sample: a sample of the machines that have room shows whether one task fits, not whether the rest does."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from sorrelsill import constants as C
+from sorrelsill.jobs import Spec
+from sorrelsill.workers import Attempt, Host
+
+Offer = Callable[[Host], tuple[float, list[Attempt]] | None]  # what would have to be stopped there, and its cost
+
+
+@dataclass(slots=True)
+class Seat:
+    """A machine and how many tasks of the group it can take."""
+
+    host: Host
+    count: int
+
+
+@dataclass(slots=True)
+class Seating:
+    """Machines for a group in one zone, or anywhere if it may be spread; `short` is what finds no room."""
+
+    zone: str | None
+    seats: list[Seat]
+    short: int
+    cold: bool  # an image has to be fetched
+
+
+def capacity(host: Host, spec: Spec) -> int:
+    """Tasks that fit on a machine as it stands."""
+    fits = [float(spec.shards)]
+    for have, want in (
+        (host.cap_cpus - host.cpus, spec.cpus),
+        (host.cap_memory - host.memory, spec.memory),
+        (host.cap_gpus - host.gpus, spec.gpus),
+    ):
+        if want > 0:
+            fits.append((have + 1e-6) / want)
+    return max(0, math.floor(min(fits)))
+
+
+def seat(spec: Spec, hosts: Iterable[Host], zones: Iterable[str]) -> list[Seating]:
+    """For each zone (one entry for all if the group may be spread) the machines it would go to, best first."""
+    pools: dict[str | None, list[Seat]] = {z: [] for z in zones} if spec.one_zone else {None: []}
+    for host in hosts:
+        count = capacity(host, spec)
+        if count > 0:
+            pools.setdefault(host.zone if spec.one_zone else None, []).append(Seat(host, count))
+    out = []
+    for zone, seats in pools.items():
+        # Fetches side by side share a machine's rate; a type that most of the room is on makes for an even pace.
+        kinds: dict[str, int] = {}
+        for s in seats:
+            kinds[s.host.flavour] = kinds.get(s.host.flavour, 0) + s.count
+        seats.sort(key=lambda s: _preference(s, spec, kinds))
+        taken: list[Seat] = []
+        in_zone: dict[str, int] = {}
+        left = spec.shards
+        for s in seats:
+            count = min(left, s.count)
+            if spec.scatter:
+                count = min(count, spec.zone_limit - in_zone.get(s.host.zone, 0))
+            if count > 0:
+                taken.append(Seat(s.host, count))
+                in_zone[s.host.zone] = in_zone.get(s.host.zone, 0) + count
+                left -= count
+            if not left:
+                break
+        out.append(Seating(zone, taken, left, any(spec.bundle not in s.host.images for s in taken)))
+    out.sort(key=lambda o: (o.short, o.cold, len(o.seats), o.zone or ""))
+    return out
+
+
+def _preference(s: Seat, spec: Spec, kinds: dict[str, int]) -> tuple[float, bool, int, int, float]:
+    host = s.host
+    fetch = 0.0 if spec.bundle in host.images else 1.0 + len(host.fetching - {spec.bundle})
+    enough = kinds[host.flavour] >= spec.shards
+    left = host.cap_cpus - host.cpus - min(s.count, spec.shards) * spec.cpus
+    return fetch, host.spot, 0 if enough else 1, -min(s.count, spec.shards), left
+
+
+def room_for(
+    spec: Spec, seatings: list[Seating], hosts: Iterable[Host], offer: Offer
+) -> tuple[Seating, list[Attempt]] | None:
+    """The zone in which stopping the least lets the whole group in, and what to stop there; None if nothing does."""
+    offers: dict[str | None, list[tuple[float, Host, int, list[Attempt]]]] = {}
+    for host in hosts:
+        found = offer(host)
+        if found is None:
+            continue
+        cost, victims = found
+        more = capacity_after(host, spec, victims) - capacity(host, spec)
+        if more > 0:
+            offers.setdefault(host.zone if spec.one_zone else None, []).append((cost / more, host, more, victims))
+    best: tuple[float, Seating, list[Attempt]] | None = None
+    for seating in seatings:
+        short, cost = seating.short, 0.0
+        chosen: list[Attempt] = []
+        seats = list(seating.seats)
+        room: dict[str, int] = {}
+        for s in seats:
+            room[s.host.zone] = room.get(s.host.zone, 0) + s.count
+        for each, host, more, victims in sorted(offers.get(seating.zone, ()), key=lambda o: (o[0], o[1].name)):
+            if short <= 0:
+                break
+            if spec.scatter and room.get(host.zone, 0) >= spec.zone_limit:
+                continue
+            count = min(more, short)
+            short -= count
+            cost += each * more
+            chosen += victims
+            room[host.zone] = room.get(host.zone, 0) + count
+            seats.append(Seat(host, count))
+        if short <= 0 and (best is None or cost < best[0]):
+            best = cost, Seating(seating.zone, seats, 0, seating.cold), chosen
+    return (best[1], best[2]) if best is not None else None
+
+
+def capacity_after(host: Host, spec: Spec, victims: list[Attempt]) -> int:
+    """Tasks that fit once some others are gone."""
+    fits = [float(spec.shards)]
+    freed = [v.spec for v in victims if v.spec is not None]
+    for have, want in (
+        (host.cap_cpus - host.cpus + sum(s.cpus for s in freed), spec.cpus),
+        (host.cap_memory - host.memory + sum(s.memory for s in freed), spec.memory),
+        (host.cap_gpus - host.gpus + sum(s.gpus for s in freed), spec.gpus),
+    ):
+        if want > 0:
+            fits.append((have + 1e-6) / want)
+    return max(0, math.floor(min(fits)))
+
+
+def worth_holding(spec: Spec, seatings: list[Seating], hosts: Iterable[Host]) -> tuple[str | None, list[Host]]:
+    """Machines to keep filling up for a group that finds no room: in the zone that lacks least, those with most room
+    that is not a service's, until all would fit. None are kept if even all of them would not do."""
+    by_zone: dict[str | None, list[tuple[int, float, Host]]] = {}
+    for host in hosts:
+        lasting = [a for a in host.attempts.values() if a.spec is not None and a.spec.endless]
+        others = [a for a in host.attempts.values() if a.spec is not None and not a.spec.endless]
+        count = capacity_after(host, spec, others)
+        if count > 0:
+            free = host.cap_cpus - host.cpus
+            by_zone.setdefault(host.zone if spec.one_zone else None, []).append((count, free - len(lasting), host))
+    for seating in seatings:
+        kept: list[Host] = []
+        left = spec.shards
+        for count, _, host in sorted(by_zone.get(seating.zone, ()), key=lambda i: (-i[1], i[2].name)):
+            kept.append(host)
+            left -= count
+            if left <= 0 or len(kept) == C.GROUP_HOLD_HOSTS:
+                break
+        if left <= 0:
+            return seating.zone, kept
+    return None, []
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -96,10 +96,12 @@
         """Whether an aim counts seconds since submission for work that ends: then a machine's boot time
         comes too late and idle machines are worth keeping. Deadlines leave time to boot, and where a class has them,
         seconds that are named besides are only an outer bound; the aims on money are not told to controllers, so
-        elsewhere money is saved. Found on measured days: with such a bound added, no idle machine ever went back."""
+        elsewhere money is saved. Found on measured days: with such a bound added, no idle machine ever went back; the
+        same with seconds named for another class than the one with the deadlines, which gets room kept of its own."""
         aims = self.facts.objectives
-        patient = {o.workload for o in aims if o.kind == "deadline"}
-        return any(o.kind == "guarantee" or o.kind == "finished" and o.workload not in patient for o in aims)
+        if any(o.kind == "guarantee" for o in aims):
+            return True
+        return any(o.kind == "finished" for o in aims) and not any(o.kind == "deadline" for o in aims)
 
 
 class Timings(msgspec.Struct, frozen=True):
--- a/sorrelsill/standins/worker.py
+++ b/sorrelsill/standins/worker.py
@@ -9,6 +9,7 @@
 import trio
 
 from sorrelsill.http import Client, NoAnswer, NotSent, Reply, Request
+from sorrelsill.standins.gangs import Gangs
 
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
@@ -20,8 +21,9 @@
     def __init__(
         self, name: str, flavour: str, zone: str, spot: bool, nodes: dict[str, str], client: Callable[[str], Client],
         report_s: float, lease_s: float, specs: dict[str, dict[str, Any]],
-        hear: Callable[[FakeWorker, str, bool], None],
+        hear: Callable[[FakeWorker, str, bool], None], gangs: Gangs,
     ) -> None:  # fmt: skip
+        self._gangs = gangs
         self.name, self.flavour, self.zone, self.spot = name, flavour, zone, spot
         self._nodes = nodes  # label -> address
         self._clients = {label: client(addr) for label, addr in nodes.items()}
@@ -37,6 +39,7 @@
         self.evict: float | None = None
         self.on_done: Callable[[str], None] = lambda shard: None
         self.fail: Callable[[str], bool] = lambda shard: False
+        self.pull_rate = 1.0  # GB a second
         self._change = trio.Event()
 
     # --- its tasks ---
@@ -68,13 +71,20 @@
         """Let time pass for the tasks and for the lease."""
         now = trio.current_time()
         self.end_lease()
-        for (shard, _), task in self.tasks.items():
+        for (shard, try_no), task in list(self.tasks.items()):
             spec = self._spec(shard)
-            if task["phase"] == "pulling" and now >= task["at"] + spec["sizeGb"]:
-                task.update(phase="running", at=now)
+            whole = spec["shape"] == "group"
+            if task["phase"] == "pulling" and now >= task["at"] + spec["sizeGb"] / self.pull_rate:
+                task.update(phase="waiting" if whole else "running", at=now)
                 self._put(shard, True)
                 self._changed()
-            if task["phase"] == "running" and self.fail(shard):
+                if spec["uid"] in self._gangs.done:
+                    self._exit(shard, task, "done")  # the result is kept
+                elif whole:
+                    self._gangs.join(self, shard, try_no, task, now)
+            if whole and task["phase"] in ("waiting", "running", "saving") and not self.fail(shard):
+                continue  # the group decides
+            if task["phase"] in ("waiting", "running") and self.fail(shard):
                 self._exit(shard, task, "error")
             elif (
                 task["phase"] == "running" and spec["shape"] != "standing" and now >= task["at"] + spec["expectedRunS"]
@@ -104,6 +114,8 @@
         elif order["verb"] == "halt" and task is not None and task["phase"] != "exited":
             spec = self._spec(key[0])
             saves = spec["snapshotEveryS"] > 0 and order["windDownS"] >= spec["snapshotCostS"]
+            if spec["shape"] == "group" and task["phase"] == "running":
+                saves = self._gangs.halt(key[0], key[1], order["windDownS"], trio.current_time())
             if task["phase"] == "running" and saves:
                 task.update(phase="saving", at=trio.current_time())
             elif task["phase"] != "saving" or order["windDownS"] == 0:
--- a/sorrelsill/standins/world.py
+++ b/sorrelsill/standins/world.py
@@ -24,6 +24,7 @@
     Workers,
 )
 from sorrelsill.standins.cloud import FakeCloud
+from sorrelsill.standins.gangs import Gangs
 from sorrelsill.standins.network import FakeNet
 from sorrelsill.standins.store import FakeStore
 from sorrelsill.standins.worker import FakeWorker
@@ -33,6 +34,7 @@
 
 LABELS = ("n0", "n1", "n2")
 REPORT_S, LEASE_S, CANCEL_S = 1.0, 11.0, 30.0
+GANG_WAIT_S, GANG_PEER_S = 40.0, 5.0
 
 
 def job(name: str, **fields: Any) -> dict[str, Any]:
@@ -64,6 +66,7 @@
         self.cancelled_at: dict[str, float] = {}
         self.starts: list[tuple[float, str, str]] = []  # time, task, machine
         self.finished: set[str] = set()
+        self.gangs = Gangs(GANG_WAIT_S, GANG_PEER_S)
         self.broken: list[str] = []
         self.net.handlers["store"] = self.store.handle
         self.net.handlers["cloud"] = self.cloud.handle
@@ -78,7 +81,7 @@
     def start(self, label: str) -> Node:
         members = [Member(o, f"{o}:peer") for o in LABELS if o != label]
         facts = Facts(
-            workers=Workers(REPORT_S, LEASE_S, CANCEL_S),
+            workers=Workers(REPORT_S, LEASE_S, CANCEL_S, GANG_WAIT_S, GANG_PEER_S),
             state=StateLimits(500.0, 200.0, self.store.value_kb, self.store.txn_ops),
             cloud=CloudLimits(5.0, 2.0),
             nodes=len(LABELS),
@@ -127,7 +130,7 @@
     def _boot(self, name: str, flavour: str, zone: str, spot: bool) -> None:
         worker = FakeWorker(
             name, flavour, zone, spot, {label: label for label in LABELS}, self.net.client(name), REPORT_S, LEASE_S,
-            self.specs, self._hear,
+            self.specs, self._hear, self.gangs,
         )  # fmt: skip
         worker.on_done = self.finished.add
         self.workers[name] = worker
@@ -184,7 +187,8 @@
                     at = self.cancelled_at.get(shard.rpartition("/")[0])
                     if at is not None and now - at > CANCEL_S:
                         self.broken.append(f"ran_cancelled: {shard} on {worker.name}")
-            await trio.sleep(0.25)
+            self.gangs.step(now)
+            await trio.sleep(0.1)
 
     # --- users ---
 
--- /dev/null
+++ b/sorrelsill/workers/groups.py
@@ -0,0 +1,89 @@
+"""Groups: jobs whose tasks run together or not at all. Pure decisions on the leader's ledger.
+
+All tasks of one start share an attempt number, and no number is used for a second start: where a task is missing
+the rest are stopped, and the whole starts anew once every task of the attempt is proved gone. The protocol would let a
+replacement of the same number complete a group that has not begun; that number would then stand on two machines, and
+the proofs of the ledger rest on it standing on one. What a new start costs instead is measured in docs/results.md."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sorrelsill import constants as C
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.ledger import Job, Ledger
+
+log = logging.getLogger(__name__)
+
+
+def tend(ledger: Ledger) -> None:
+    """Groups that are not whole any more, or that somebody began to stop, and what has to be done about the rest."""
+    for job in ledger.groups.values():
+        if job.bound and job.done.count < job.spec.shards:
+            _tend(ledger, job)
+
+
+def _tend(ledger: Ledger, job: Job) -> None:
+    tasks = list(job.bound.values())
+    if all(a.stop for a in tasks):
+        return
+    if any(a.phase == "saving" for a in tasks):
+        # A leader before us began to stop it in order and did not get to tell all: told in time they save together,
+        # and the group has made no progress since the first was told.
+        log.info("%s: an earlier leader began to stop it, the rest are told", job.spec.uid)
+        stop(ledger, job, "stopped by an earlier leader", False)
+        return
+    if not ledger.settled(job):
+        return  # what is missing may be on a machine that was not heard yet
+    whole = len(tasks) == job.spec.shards and len({a.try_no for a in tasks}) == 1
+    if whole and not any(a.stop for a in tasks):
+        return
+    # Halting at once is quicker than waiting until the others notice, and loses no more: a group that lost a task falls
+    # back to its last checkpoint anyway.
+    for attempt in tasks:
+        ledger.halt(attempt, "its group is not whole", True)
+
+
+def reachable(job: Job) -> bool:
+    """Whether all machines of the group will most likely get an order at once."""
+    return all(
+        a.host.synced and a.host.hears and not a.host.overdue and not a.host.lost for a in job.bound.values()
+    )  # fmt: skip
+
+
+def may_save(job: Job) -> bool:
+    """An orderly stop needs all tasks running and all of them told within a moment of each other."""
+    return (
+        job.spec.snapshot_s > 0
+        and len(job.bound) == job.spec.shards
+        and all(a.phase == "running" and not a.stop for a in job.bound.values())
+        and reachable(job)
+    )
+
+
+def stop(ledger: Ledger, job: Job, reason: str, hurry: bool) -> None:
+    """Stop a group: in order, so that its progress is kept, if all can be told; else at once."""
+    saving = any(a.phase == "saving" for a in job.bound.values())
+    orderly = not hurry and (may_save(job) or saving and job.spec.snapshot_s > 0)
+    for attempt in list(job.bound.values()):
+        ledger.halt(attempt, reason, not orderly, ledger.peer_s if orderly else 0.0)
+
+
+def must_leave(ledger: Ledger, job: Job, left: float) -> bool:
+    """Whether a group has to leave a machine that is taken back in `left` seconds. One that does not run yet goes at
+    once, one that can save as late as is safe; if one of its machines can't be told, saving is not begun before the
+    last moment, as it would only cost the progress until then."""
+    if not any(a.running_since is not None for a in job.bound.values()):
+        return True
+    if may_save(job):
+        return left <= job.spec.snapshot_cost_s + C.DRAIN_AHEAD_S
+    return left <= C.DRAIN_AHEAD_S
+
+
+def lost_work(job: Job, now: float) -> float:
+    """Seconds of work, of all its tasks together, that stopping one of them throws away."""
+    return sum(now - a.running_since for a in job.bound.values() if a.running_since is not None) + (
+        C.PREEMPT_BASE_S * len(job.bound)
+    )
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -19,6 +19,7 @@
 from sorrelsill import constants as C
 from sorrelsill.fleet import Catalog, Flavour
 from sorrelsill.jobs import ShardSet, Spec
+from sorrelsill.workers import groups
 from sorrelsill.workers import messages as M
 
 log = logging.getLogger(__name__)
@@ -194,6 +195,7 @@
         return None
 
     def running(self) -> int:
+        """A task of a group that waits for the others does not run."""
         return sum(1 for a in self.bound.values() if a.phase in ("running", "saving"))
 
     def note(self, text: str) -> None:
@@ -220,7 +222,7 @@
 class Ledger:
     def __init__(
         self, term: int, now: float, catalog: Catalog, loss_s: float, validity_s: float,
-        overdue_s: float = float("inf"),
+        overdue_s: float = float("inf"), peer_s: float = 0.0,
     ) -> None:  # fmt: skip
         self.term = term
         self.started = now
@@ -228,6 +230,8 @@
         self.loss_s = loss_s
         self.validity_s = validity_s
         self.overdue_s = overdue_s
+        self.peer_s = peer_s  # within this the tasks of a group notice that one is gone, and have to be told to save
+        self.groups: dict[str, Job] = {}  # the live jobs whose tasks run together
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, Host] = {}
         self.team_cpus: dict[str, float] = {}
@@ -268,6 +272,8 @@
         self._orders += 1
         job.order = self._orders
         self.jobs[spec.uid] = job
+        if spec.whole:
+            self.groups[spec.uid] = job
         self.version += 1
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.uid)
@@ -280,6 +286,7 @@
     def end_job(self, uid: str) -> None:
         """The job is over, as committed: none of its tasks may start, all have to go."""
         job = self.jobs.pop(uid, None)
+        self.groups.pop(uid, None)
         self.dirty.discard(uid)
         if job is None:
             return
@@ -450,6 +457,10 @@
             host.fetching.clear()
         self.wake_placing = True
 
+    def alive(self, uid: str) -> bool:
+        """Whether any attempt of the job may still be on a machine, one too many included."""
+        return any(not attempt.exited for attempt in self.by_job.get(uid, ()))
+
     def take_back(self, attempt: Attempt, now: float) -> None:
         """Undo a binding whose start was certainly never sent: made and undone within one round."""
         self._leave(attempt)
@@ -654,6 +665,10 @@
                 if spec is None or attempt.stop or attempt.exited:
                     continue
                 left = host.evict_at - now
+                if spec.whole and attempt.uid in self.groups:
+                    if groups.must_leave(self, self.groups[attempt.uid], left):
+                        self.stop(attempt, "machine is taken back")
+                    continue
                 if attempt.running_since is None:
                     late = True
                 elif spec.snapshot_s > 0:
@@ -818,6 +833,8 @@
                 self._exited(attempt, item, now)
                 continue
             attempt.phase = item.phase
+            if item.phase == "waiting" and attempt.spec is not None:
+                self._hold(host, attempt.spec)  # it has its image, and waits for the rest of its group
             if item.phase == "running" and attempt.running_since is None:
                 attempt.running_since = now
                 log.debug("runs %s on %s, %.2f s after it was bound", attempt.shard, host.name, now - attempt.created)
@@ -844,9 +861,11 @@
         host = attempt.host
         if cause == "done":
             if job is not None and 0 <= attempt.index < job.spec.shards and not job.spec.endless:
-                if job.done.add(attempt.index):
-                    job.dirty_chunks.add(attempt.index // C.CHUNK_SHARDS)
-                    self.dirty.add(attempt.uid)
+                # The tasks of a group complete together, also those whose machines die before they tell.
+                for index in range(job.spec.shards) if job.spec.whole else (attempt.index,):
+                    if job.done.add(index):
+                        job.dirty_chunks.add(index // C.CHUNK_SHARDS)
+                        self.dirty.add(attempt.uid)
                 job.errors = 0
             else:
                 attempt.clearable = True
@@ -867,6 +886,10 @@
             job.note(f"task {attempt.index}: stopped{', saved' if item.saved else ''}"
                      f" ({attempt.stop_reason or 'by an earlier leader'})")  # fmt: skip
             return
+        if cause in (M.PEERS, M.ALONE):
+            # Another task of its group is gone or never came: the fault of neither this machine nor the job.
+            job.note(f"task {attempt.index}: {cause}, its group is started anew")
+            return
         job.note(f"task {attempt.index}: {cause} on {host.name}")
         job.avoid[host.name] = now + C.HOST_AVOID_S
         if cause == "error":
@@ -944,7 +967,18 @@
     # --- stopping ---
 
     def stop(self, attempt: Attempt, reason: str, hurry: bool = False) -> None:
-        """Stop a task to make room or to drain; it saves first unless its room is needed at once."""
+        """Stop a task to make room or to drain; it saves first unless its room is needed at once. The tasks of a group
+        are stopped together."""
+        if attempt.stop or attempt.exited:
+            return
+        group = self.groups.get(attempt.uid)
+        if group is not None and group.bound.get(attempt.index) is attempt:
+            groups.stop(self, group, reason, hurry)
+            return
+        self.halt(attempt, reason, hurry)
+
+    def halt(self, attempt: Attempt, reason: str, hurry: bool, wait_s: float = 0.0) -> None:
+        """One task, whatever becomes of the others; `wait_s` is what it may need on top of its saving."""
         if attempt.stop or attempt.exited:
             return
         attempt.stop = True
@@ -952,4 +986,4 @@
         self.talk[attempt.host.name] = attempt.host
         spec = attempt.spec
         if spec is not None and spec.snapshot_s > 0 and not hurry:
-            attempt.wind_down = spec.snapshot_cost_s + 1.0
+            attempt.wind_down = spec.snapshot_cost_s + 1.0 + wait_s
--- a/sorrelsill/workers/messages.py
+++ b/sorrelsill/workers/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+PEERS, ALONE = "peers", "alone"  # why a group's task exited: another one is gone, or the group was never complete
+
 
 class BadReport(Exception):
     pass
