--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -228,6 +228,9 @@
 
     def _choose_returns(self, now: float) -> None:
         spare = self._spare_spec()
+        # A group that waits needs several machines at once: found in a story, each machine rented for it went back as
+        # idle before the next was up.
+        awaited = [(u.job.spec, u.zone) for u in self._demand() if u.job.spec.whole and not u.limited]
         room: dict[str, int] | None = None  # worked out only if a machine could go, since it walks all of them
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
@@ -245,6 +248,8 @@
             elif host.draining:
                 self._start_return(host, "drained")
             elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
+                if any(zone in (None, host.zone) and host.allows(spec) for spec, zone in awaited):
+                    continue
                 if spare is not None and host.allows(spare):
                     if room is None:
                         room = self._spare_room(spare)
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -286,7 +286,9 @@
             h for h in self._rng.sample(hosts, min(len(hosts), C.PREEMPT_SAMPLE * C.GROUP_SAMPLES))
             if h.live and h.usable() and h.allows(spec) and self._open_to(job, h, now)
         ]  # fmt: skip
-        found = groups.room_for(spec, seatings, may, lambda h: self._victims(ledger, job, h, now))
+        found = groups.room_for(
+            spec, seatings, may, lambda h, more: self._victims(ledger, job, h, now, groups.capacity(h, spec) + more)
+        )
         if found is None:
             self._barren[kind] = now + C.BARREN_S
             return False
@@ -502,8 +504,12 @@
         group = ledger.groups.get(attempt.uid)
         return group_loss(group, now) if group is not None else lost_work(attempt, now)
 
-    def _victims(self, ledger: Ledger, job: Job, host: Host, now: float) -> tuple[float, list[Attempt]] | None:
+    def _victims(
+        self, ledger: Ledger, job: Job, host: Host, now: float, count: int = 1
+    ) -> tuple[float, list[Attempt]] | None:
+        """The least to stop so that `count` tasks of the job fit, and its cost."""
         spec = job.spec
+        need_cpus, need_gpus, need_memory = spec.cpus * count, spec.gpus * count, spec.memory * count
         cpus, gpus, memory = host.cap_cpus - host.cpus, host.cap_gpus - host.gpus, host.cap_memory - host.memory
         mine = f"making room for {spec.uid}"
         if any(a.stop and a.spec is not None and a.stop_reason == mine for a in host.attempts.values()):
@@ -512,14 +518,14 @@
         can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), self._loss(ledger, a, now)))
         cost, chosen = 0.0, []
         for attempt in can:
-            if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory:
+            if cpus + 1e-6 >= need_cpus and gpus + 1e-6 >= need_gpus and memory + 1e-6 >= need_memory:
                 break
             victim = attempt.spec
             assert victim is not None
             cpus, gpus, memory = cpus + victim.cpus, gpus + victim.gpus, memory + victim.memory
             cost += self._loss(ledger, attempt, now) * victim.cpus
             chosen.append(attempt)
-        if not chosen or cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory:
+        if not chosen or cpus + 1e-6 < need_cpus or gpus + 1e-6 < need_gpus or memory + 1e-6 < need_memory:
             return None
         return cost, chosen
 
--- a/sorrelsill/placement/groups.py
+++ b/sorrelsill/placement/groups.py
@@ -1,8 +1,8 @@
 """Where a group goes as a whole: pure decisions over machines that may take tasks of it.
 
 A task of a group that waits for the others occupies its place for nothing, so the whole is judged at once: by zone,
-with the image at hand, on few machines of one type, since the slowest sets the pace. Unlike single tasks it is not judged on
-a sample: a sample of the machines that have room shows whether one task fits, not whether the rest does."""
+with the image at hand, on few machines of one type, since the slowest sets the pace. Unlike single tasks it is not
+judged on a sample: a sample of the machines that have room shows whether one task fits, not whether the rest does."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 from sorrelsill.jobs import Spec
 from sorrelsill.workers import Attempt, Host
 
-Offer = Callable[[Host], tuple[float, list[Attempt]] | None]  # what would have to be stopped there, and its cost
+# What would have to be stopped on a machine to let so many more tasks in than fit, and its cost.
+Offer = Callable[[Host, int], tuple[float, list[Attempt]] | None]
 
 
 @dataclass(slots=True)
@@ -92,34 +93,33 @@
     spec: Spec, seatings: list[Seating], hosts: Iterable[Host], offer: Offer
 ) -> tuple[Seating, list[Attempt]] | None:
     """The zone in which stopping the least lets the whole group in, and what to stop there; None if nothing does."""
-    offers: dict[str | None, list[tuple[float, Host, int, list[Attempt]]]] = {}
+    offers: dict[str | None, list[tuple[float, str, Host]]] = {}
     for host in hosts:
-        found = offer(host)
-        if found is None:
-            continue
-        cost, victims = found
-        more = capacity_after(host, spec, victims) - capacity(host, spec)
-        if more > 0:
-            offers.setdefault(host.zone if spec.one_zone else None, []).append((cost / more, host, more, victims))
+        found = offer(host, 1)
+        if found is not None:
+            offers.setdefault(host.zone if spec.one_zone else None, []).append((found[0], host.name, host))
     best: tuple[float, Seating, list[Attempt]] | None = None
     for seating in seatings:
         short, cost = seating.short, 0.0
         chosen: list[Attempt] = []
         seats = list(seating.seats)
-        room: dict[str, int] = {}
+        in_zone: dict[str, int] = {}
         for s in seats:
-            room[s.host.zone] = room.get(s.host.zone, 0) + s.count
-        for each, host, more, victims in sorted(offers.get(seating.zone, ()), key=lambda o: (o[0], o[1].name)):
+            in_zone[s.host.zone] = in_zone.get(s.host.zone, 0) + s.count
+        for _, _, host in sorted(offers.get(seating.zone, ()), key=lambda o: o[:2]):
+            most = min(short, spec.zone_limit - in_zone.get(host.zone, 0)) if spec.scatter else short
+            # As many as may go there at once: each further machine is one more that may be slow or fail.
+            for count in range(most, 0, -1):
+                found = offer(host, count)
+                if found is not None:
+                    short -= count
+                    cost += found[0]
+                    chosen += found[1]
+                    in_zone[host.zone] = in_zone.get(host.zone, 0) + count
+                    seats.append(Seat(host, count))
+                    break
             if short <= 0:
                 break
-            if spec.scatter and room.get(host.zone, 0) >= spec.zone_limit:
-                continue
-            count = min(more, short)
-            short -= count
-            cost += each * more
-            chosen += victims
-            room[host.zone] = room.get(host.zone, 0) + count
-            seats.append(Seat(host, count))
         if short <= 0 and (best is None or cost < best[0]):
             best = cost, Seating(seating.zone, seats, 0, seating.cold), chosen
     return (best[1], best[2]) if best is not None else None
--- /dev/null
+++ b/sorrelsill/stories/test_groups.py
@@ -0,0 +1,326 @@
+"""Jobs that start together or not at all."""
+
+from typing import Any
+
+import trio
+
+from sorrelsill import constants as C
+from sorrelsill.settings import Team
+from sorrelsill.standins import World, job, story
+
+
+def group(name: str, **fields: Any) -> dict[str, Any]:
+    base = {"shape": "group", "oneZone": True, "shards": 6, "expectedRunS": 20.0}
+    return job(name, **{**base, **fields})
+
+
+def saving(name: str, **fields: Any) -> dict[str, Any]:
+    return group(name, **{"snapshotEveryS": 8.0, "snapshotCostS": 2.0, "expectedRunS": 40.0, **fields})
+
+
+async def runs(world: World, uid: str, limit: float = 60.0) -> list[str]:
+    """Until all tasks run, as the workers tell it; the machines they are on."""
+    shards = world.specs[uid]["shards"]
+
+    def whole() -> bool:
+        tasks = [t for w in world.workers.values() for (s, _), t in w.tasks.items() if s.startswith(uid + "/")]
+        return sum(1 for t in tasks if t["phase"] == "running") == shards
+
+    await world.until(whole, limit)
+    return sorted({machine for _, machine in world.running(uid)})
+
+
+def test_a_group_runs_as_one_and_needs_the_whole_limit_of_its_team() -> None:
+    async def tell(world: World) -> None:
+        assert await world.submit(group("run-g")) == 201
+        assert await world.submit(group("run-big", shards=11)) == 422, "22 CPUs of 20, together"
+        assert await world.submit(group("run-bad", oneZone=None)) == 400
+        await runs(world, "run-g")
+        await world.until_phase("run-g", "running", 3)
+        await world.until_phase("run-g", "done")
+        assert await world.submit(group("run-g")) == 200
+        assert len(world.gangs.begun) == 1 and world.gangs.reasons == ["done"] * 6
+
+    story(tell, teams=[Team("red", cpus_max=20.0)])
+
+
+def test_waiting_tasks_are_not_running_to_users() -> None:
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 2
+        await world.submit(job("run-warm", shards=8, expectedRunS=1.0))
+        await world.until(lambda: len(world.workers) >= 2, 60)
+        slow = sorted(world.workers)[1]
+        world.workers[slow].pull_rate = 0.02
+        await world.submit(group("run-g", shards=8, sizeGb=0.4, bundle="other", oneZone=False))
+        await world.until(
+            lambda: any(t["phase"] == "waiting" for w in world.workers.values() for t in w.tasks.values())
+        )
+        await trio.sleep(8)
+        assert (await world.poll("run-g"))[1] == {"uid": "run-g", "phase": "pending", "done": 0, "running": 0}
+        await runs(world, "run-g")
+        await world.until_phase("run-g", "done")
+
+    story(tell)
+
+
+def test_a_group_that_loses_a_machine_starts_anew_as_a_whole() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(saving("run-g"))
+        machines = await runs(world, "run-g")
+        await trio.sleep(11)
+        world.kill_machine(machines[0])
+        await world.until(lambda: len(world.gangs.begun) == 2, 60)
+        assert world.gangs.saved["run-g"] >= 8, "from the last checkpoint"
+        await world.until_phase("run-g", "done")
+        assert len({n for _, n in world.gangs.begun}) == 2, "each start has a number of its own"
+        _, answer = await world.ask("n0", "GET", "/v2/runs/run-g/why")
+        assert any("started anew" in note or "not whole" in note for note in answer["why"])
+
+    story(tell)
+
+
+def test_a_machine_that_dies_before_the_start_costs_no_more_than_a_new_start() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(group("run-g", sizeGb=4.0))
+        await world.until(lambda: sum(1 for w in world.workers.values() for _ in w.tasks) == 6)
+        victim = next(n for n, w in world.workers.items() if w.tasks)
+        world.kill_machine(victim)
+        await world.until_phase("run-g", "done", 120)
+        assert len(world.gangs.begun) == 1
+
+    story(tell)
+
+
+def test_a_notice_for_one_machine_saves_the_whole_group() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(saving("run-g", reclaimable=True, expectedRunS=60.0, snapshotEveryS=40.0))
+        machines = await runs(world, "run-g")
+        await trio.sleep(10)
+        world.workers[machines[0]].evict = trio.current_time() + 12
+        await trio.sleep(12)
+        world.kill_machine(machines[0])
+        assert world.gangs.saved.get("run-g", 0) > 10, "in order, and as late as is safe"
+        assert world.gangs.reasons == ["halted"] * 6
+        await world.until_phase("run-g", "done", 200)
+
+    story(tell)
+
+
+def test_room_for_production_stops_a_group_as_a_whole_but_arrays_first() -> None:
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 3
+        await world.submit(group("run-g", shards=4, rank="best_effort", expectedRunS=300.0, oneZone=False))
+        await runs(world, "run-g")
+        await world.submit(job("run-a", shards=8, rank="best_effort", expectedRunS=300.0))
+        await world.until(lambda: len(world.running("run-a")) == 8)
+        await world.submit(job("run-s", shape="standing", shards=2, rank="prod", expectedRunS=0.0))
+        await world.until(lambda: len(world.running("run-s")) == 2, 10)
+        assert len(world.running("run-g")) == 4 and len(world.running("run-a")) == 6
+        await world.submit(job("run-t", shape="standing", shards=10, rank="prod", expectedRunS=0.0))
+        await world.until(lambda: len(world.running("run-t")) == 10, 30)
+        assert not world.running("run-g")
+
+    story(tell)
+
+
+def test_a_group_makes_room_as_a_whole_or_not_at_all() -> None:
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 2
+        await world.submit(job("run-low", shards=8, rank="best_effort", expectedRunS=300.0))
+        await world.until(lambda: len(world.running("run-low")) == 8)
+        await world.submit(group("run-huge", shards=6, vcpus=4.0, owner="blue"))
+        await trio.sleep(10)
+        assert len(world.running("run-low")) == 8, "twelve CPUs more than there are: nothing is stopped in vain"
+        await world.cancel("run-huge")
+        await world.submit(group("run-g", shards=3, owner="blue", oneZone=False))
+        await runs(world, "run-g", 15)
+
+    story(tell, teams=[Team("red"), Team("blue", cpus=16.0)])
+
+
+def test_a_stream_of_small_tasks_does_not_starve_a_group_nor_the_group_them() -> None:
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 4
+
+        async def stream() -> None:
+            for number in range(200):
+                await world.submit(job(f"run-{number}", shards=2, expectedRunS=6.0))
+                await trio.sleep(0.8)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream)
+            await trio.sleep(40)
+            began = trio.current_time()
+            await world.submit(group("run-g", shards=8, expectedRunS=30.0))
+            await runs(world, "run-g", 240)
+            assert trio.current_time() - began < 200
+            before = len(world.finished)
+            await world.until_phase("run-g", "done")
+            assert len(world.finished) > before + 10
+            nursery.cancel_scope.cancel()
+
+    story(tell)
+
+
+def test_a_cancelled_group_is_gone_in_time_also_while_it_waits_or_saves() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(saving("run-g"))
+        await runs(world, "run-g")
+        await world.cancel("run-g")
+        await world.until(lambda: not world.running("run-g"), 5)
+        await world.submit(group("run-w", sizeGb=20.0))
+        await world.until(lambda: any(k[0].startswith("run-w/") for w in world.workers.values() for k in w.tasks))
+        await world.cancel("run-w")
+        await trio.sleep(30)
+        assert world.running("run-w") == []
+
+    story(tell)
+
+
+def test_one_done_completes_the_group_though_the_others_die() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(group("run-g", shards=4, vcpus=4.0))
+        machines = await runs(world, "run-g")
+        assert len(machines) == 2
+        await trio.sleep(15)
+        world.net.hold_request = lambda src, dst, request: src == machines[0]
+        await world.until(lambda: "run-g" in world.gangs.done)
+        world.kill_machine(machines[0])
+        world.net.hold_request = lambda src, dst, request: False
+        await world.until_phase("run-g", "done", 10)
+        await trio.sleep(40)
+        assert len(world.gangs.begun) == 1 and len(world.starts) == 4
+
+    story(tell)
+
+
+def test_a_takeover_with_half_of_the_starts_sent_starts_no_second_attempt_beside_the_first() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(job("run-warm", shards=12, expectedRunS=1.0))
+        await world.until_phase("run-warm", "done")
+        leader = await world.until_leader()
+        machines = sorted(world.workers)
+        lost = set(machines[: len(machines) // 2])
+        world.net.hold_request = lambda src, dst, request: src == leader and dst in lost and request.path == "/commands"
+        await world.submit(group("run-g", shards=8, oneZone=False))
+        await world.until(lambda: any(k[0].startswith("run-g/") for w in world.workers.values() for k in w.tasks))
+        world.kill(leader)
+        world.net.hold_request = lambda src, dst, request: False
+        await trio.sleep(3)
+        world.net.release()  # the late starts come while nobody leads, or a new one does
+        await world.until_phase("run-g", "done", 120)
+        assert len(world.gangs.begun) == 1
+
+    story(tell)
+
+
+def test_a_leader_that_dies_while_it_tells_a_group_to_save_leaves_it_to_its_successor() -> None:
+    """The next leader finds some saving and some running; nothing runs twice and the group goes on."""
+
+    async def tell(world: World) -> None:
+        await world.submit(saving("run-g", snapshotCostS=4.0, expectedRunS=60.0))
+        machines = await runs(world, "run-g")
+        leader = await world.until_leader()
+        node = world.nodes[leader]
+        assert node.ledger is not None
+        other = machines[-1]
+        world.net.hold_request = lambda src, dst, request: dst == other and src == leader
+        attempt = next(iter(node.ledger.groups["run-g"].bound.values()))
+        node.ledger.stop(attempt, "for the story")
+        await trio.sleep(1.2)
+        world.kill(leader)
+        world.net.hold_request = lambda src, dst, request: False
+        await world.until_leader()
+        await world.until(lambda: len(world.gangs.begun) == 2, 60)
+        await world.until_phase("run-g", "done", 120)
+
+    story(tell)
+
+
+def test_a_hung_machine_and_a_deaf_one_cost_a_new_start_and_no_rule() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(saving("run-g"))
+        machines = await runs(world, "run-g")
+        world.workers[machines[0]].hung = True
+        await trio.sleep(8)
+        assert set(world.gangs.reasons) == {"peers"}
+        world.workers[machines[0]].hung = False
+        await world.until(lambda: len(world.gangs.begun) == 2, 60)
+        machines = await runs(world, "run-g")
+        deaf = machines[0]
+        world.net.drop_answers = lambda src, dst, request: src == deaf and request.path == "/hello"
+        world.net.hold_request = lambda src, dst, request: dst == deaf
+        await trio.sleep(25)
+        world.net.drop_answers = lambda src, dst, request: False
+        world.net.hold_request = lambda src, dst, request: False
+        await world.until_phase("run-g", "done", 200)
+
+    story(tell)
+
+
+def test_peers_and_alone_are_nobodys_fault() -> None:
+    async def tell(world: World) -> None:
+        world.gangs.wait_s = 3.0
+        await world.submit(job("run-warm", shards=8, expectedRunS=1.0))
+        await world.until_phase("run-warm", "done")
+        for worker in list(world.workers.values())[1:]:
+            worker.pull_rate = 0.05
+        await world.submit(group("run-g", shards=8, bundle="other", oneZone=False))
+        await world.until(lambda: "alone" in world.gangs.reasons, 60)
+        leader = world.nodes[await world.until_leader()]
+        await trio.sleep(2)
+        assert leader.ledger is not None
+        held = leader.ledger.groups["run-g"]
+        assert not held.avoid and not held.errors and not any(h.faulty for h in leader.ledger.hosts.values())
+        for worker in world.workers.values():
+            worker.pull_rate = 1.0
+        world.gangs.wait_s = 40.0
+        await world.until_phase("run-g", "done", 120)
+
+    story(tell)
+
+
+def test_a_new_attempt_waits_for_the_old_one_and_for_its_zone() -> None:
+    """A task of the old attempt on a machine that is cut off holds the zone until it is proved gone."""
+
+    async def tell(world: World) -> None:
+        await world.submit(group("run-g", shards=6, expectedRunS=60.0))
+        machines = await runs(world, "run-g")
+        world.cut_machine(machines[0])
+        began = trio.current_time()
+        await world.until(lambda: len(world.gangs.begun) == 2, 60)
+        assert trio.current_time() - began > 10
+        world.net.heal()
+        await world.until_phase("run-g", "done", 200)
+
+    story(tell)
+
+
+def test_a_damaged_report_or_record_of_one_group_never_stops_the_rest() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(group("run-g"))
+        await runs(world, "run-g")
+        for worker in world.workers.values():
+            worker.tasks[("run-g/x", 1)] = {"phase": "dreaming", "exitCause": "bored"}
+            worker.tasks[("run-g/99", 2)] = {"phase": "dreaming"}
+            break
+        world.store.kv["s/j/run-odd"] = ({"s": {"shape": "group"}}, world.store.rev, None)
+        world.kill(await world.until_leader())
+        await world.until_phase("run-g", "done")
+        await world.submit(group("run-h"))
+        await world.until_phase("run-h", "done")
+
+    story(tell)
+
+
+def test_numbers_of_groups_that_wait_are_not_used_up() -> None:
+    """Found by reading: each look for room took an attempt number, some hundreds a second of 16 million a term."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 1
+        await world.submit(group("run-g"))
+        await trio.sleep(30)
+        leader = world.nodes[await world.until_leader()]
+        assert leader.ledger is not None and leader.ledger.next_try() & ((1 << C.TRY_BITS) - 1) < 5
+
+    story(tell)
