Smaller limits of the state service: sizes kept from the start, rate and long values when told

Roster parts go on in further keys and are shrunk entry by entry; finished tasks move beside the record where it would be too long; a refused transaction is taken apart and what is refused alone is set aside.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -14,6 +14,7 @@
 LIST_PAGE: Final = 500  # machines; the cloud's limit per page
 KV_PAGE: Final = 1000  # keys; the state service's limit per page
 CONDITIONS_PER_OP: Final = 4  # conditions allowed for each put or delete of a transaction
+LEAST_OPS: Final = 2  # writes; the end of a job takes this many in one transaction
 TXN_BYTES: Final = 56 * 1024  # bytes; below the 64 KiB of a transaction, as the limit counts JSON form
 
 # --- leadership -------------------------------------------------------------------------------------
@@ -67,10 +68,14 @@
 FINAL_CACHE: Final = 20_000  # jobs; finished jobs whose final state is held in memory
 ENDED_KEPT: Final = 4096  # jobs; lately over, remembered for what they may still run
 CHUNK_SHARDS: Final = 16_384  # tasks; jobs above this keep finished tasks in keys of their own
-ROSTER_PARTS: Final = 32  # keys that share the roster: 20 machines each at 640, well within a small value
+PART_SHARDS: Final = 4_096  # tasks; the same in smaller keys where a value may not be that long: at most 0.7 KB each
+VALUE_SHARE: Final = 0.9  # ratio; of a value's limit that we fill, since how the store writes JSON is not known
+ROSTER_PARTS: Final = 32  # keys that share the roster; one that is full goes on in further keys
+ASIDE_S: Final = 60.0  # s; a change that the store refuses by itself is not tried again for this long
 WRITER_TICK_S: Final = 0.2  # s; finished tasks and changed states are gathered this long per write
 PROGRESS_EVERY_S: Final = 6.0  # s; the record of a job that goes on running is written this often at the most ...
-PROGRESS_RESERVE: Final = 6  # writes; left over by progress for what is urgent next: two ends and two beginnings
+PROGRESS_RESERVE: Final = 6  # writes; left over by progress for what is urgent next: two ends and two beginnings ...
+PROGRESS_RESERVE_SHARE: Final = 0.5  # ratio; ... but no more than this part of what can be saved up
 PROGRESS_SHARE: Final = 0.4  # ratio; ... and seldomer with many of them: of the leader's writes, what progress may use
 WATCH_SHARE: Final = 0.4  # ratio; of a node's requests to the store that its watch may use while changes come thick
 
--- a/sorrelsill/jobs/__init__.py
+++ b/sorrelsill/jobs/__init__.py
@@ -8,6 +8,7 @@
     chunk_value,
     final_record,
     impossible,
+    json_size,
     new_record,
     parse_record,
     record_value,
@@ -15,5 +16,5 @@
 
 __all__ = [
     "GANG", "RANKS", "SWEEP", "Admission", "BadJob", "Busy", "Recorder", "ShardSet", "Spec", "chunk_value",
-    "final_record", "impossible", "new_record", "parse_record", "parse_spec", "record_value", "valid_uid",
+    "final_record", "impossible", "json_size", "new_record", "parse_record", "parse_spec", "record_value", "valid_uid",
 ]  # fmt: skip
--- a/sorrelsill/jobs/admission.py
+++ b/sorrelsill/jobs/admission.py
@@ -16,17 +16,17 @@
 from sorrelsill import constants as C
 from sorrelsill.fleet import Catalog
 from sorrelsill.jobs.messages import BadJob, Spec, parse_spec, valid_uid
-from sorrelsill.jobs.records import final_record, impossible, new_record, parse_record
+from sorrelsill.jobs.records import final_record, impossible, json_size, new_record, parse_record
 from sorrelsill.settings import Team
 from sorrelsill.store import (
     Ambiguous,
     Condition,
     Put,
+    Refused,
     Remove,
     Store,
     Unavailable,
     View,
-    chunk_key,
     final_key,
     job_key,
 )
@@ -123,7 +123,7 @@
         # A repeat is looked up before it is judged: the limits may have changed since it was accepted.
         for uid in list(todo):
             spec = todo[uid][0].spec
-            if self.catalog is None or impossible(spec, self._teams, self.catalog):
+            if self.catalog is None or impossible(spec, self._teams, self.catalog) or self._too_long(spec):
                 await self._judge(uid, todo.pop(uid))
         for _ in range(3):
             if not todo:
@@ -136,6 +136,16 @@
                 writes.append(Put(job_key(uid), records[uid]))
             try:
                 txn = await self._store.multi(conditions, writes)
+            except Refused:
+                # One that is too long must not hold up the rest of its batch: each goes by itself, and those that the
+                # limit, as it is known now, leaves no room for are told so.
+                if len(todo) > 1:
+                    for group in todo.values():
+                        await self._admit(group)
+                else:
+                    for uid in [u for u, g in todo.items() if self._too_long(g[0].spec)]:
+                        await self._judge(uid, todo.pop(uid))
+                return
             except Unavailable as error:
                 if error.throttled and trio.current_time() < now + C.ADMIT_DEADLINE_S / 2:
                     await trio.sleep(C.RETRY_S)
@@ -157,6 +167,9 @@
                 if uid in todo:
                     await self._settle(uid, todo.pop(uid))
 
+    def _too_long(self, spec: Spec) -> bool:
+        return json_size(new_record(spec, self._time_of_day())) > self._store.value_bytes
+
     async def _lookup(self, uid: str) -> dict[str, Any] | None:
         """The job's state by direct reads, or None if it was never accepted at the first read."""
         for key in (job_key(uid), final_key(uid)):
@@ -186,6 +199,8 @@
         for waiting in group:
             if state is not None:
                 waiting.answer = 200, state
+            elif self._too_long(waiting.spec):
+                waiting.answer = 400, {"error": "body: longer than the state service can keep"}
             elif self.catalog is not None:
                 # The catalog may have come during the look-up: then the job may well be possible, and is
                 # sent back to be asked again rather than refused for good.
@@ -279,11 +294,11 @@
             spec, done, why = parse_record(value, [])
             if done.size == int(value.get("n") or 0):
                 # Every task is done and recorded; only the move to the final key is missing.
-                record = final_record("done", spec, done.size, why)
+                record = final_record("done", spec, done.size, why, self._store.small_bytes)
             else:
-                record = final_record("cancelled", spec, int(value.get("n") or 0), [*why, "cancelled by its user"])
-            large = spec.shards > C.CHUNK_SHARDS
-            chunks = [Remove(chunk_key(uid, n)) for n, _ in self._view.chunks(uid)] if large else []
+                why = [*why, "cancelled by its user"]
+                record = final_record("cancelled", spec, int(value.get("n") or 0), why, self._store.small_bytes)
+            chunks = [Remove(key) for key in self._view.chunk_keys(uid)]
             writes: list[Put | Remove] = [Remove(job_key(uid)), Put(final_key(uid), record)]
             room = max(0, self._store.txn_ops - 2)
             txn = await self._store.multi([Condition(job_key(uid), rev)], [*writes, *chunks[:room]])
--- a/sorrelsill/jobs/recorder.py
+++ b/sorrelsill/jobs/recorder.py
@@ -1,23 +1,28 @@
 """The leader's writes: finished tasks into job records, jobs that are over to their final key, and the
-roster of machines that may hold work. Every transaction carries `leader == term`, so a late one fails."""
+roster of machines that may hold work. Every transaction carries `leader == term`, so a late one fails.
+
+Whatever is written keeps to the limits of the state service, which may shrink without notice. A transaction that it
+refuses for its size is taken apart: each change goes by itself, and one that is refused alone is set aside for a while,
+logged and counted, so that it never holds up the others."""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from sorrelsill import constants as C
-from sorrelsill.jobs.records import chunk_value, final_record, record_value
+from sorrelsill.jobs.records import chunk_value, final_record, json_size, record_value, with_notes
+from sorrelsill.jobs.roster import RosterWrite, next_write
 from sorrelsill.store import (
     LEADER,
     Ambiguous,
     Condition,
     Put,
+    Refused,
     Remove,
     Store,
     Unavailable,
@@ -25,6 +30,7 @@
     chunk_key,
     final_key,
     job_key,
+    part_key,
     roster_key,
 )
 
@@ -33,7 +39,7 @@
 
 log = logging.getLogger(__name__)
 
-_json = msgspec.json.encode
+_PARTS_OF_CHUNK = C.CHUNK_SHARDS // C.PART_SHARDS
 
 
 class _Batch:
@@ -44,6 +50,7 @@
         self.writes: list[Put | Remove] = []
         self.after: list[Callable[[int], None]] = []
         self.undo: list[Callable[[], None]] = []  # if it is not known to be committed: what stays due
+        self.units: list[str] = []  # the changes in it, each of which could go by itself
         self.size = 200
         self.ops = ops
 
@@ -63,26 +70,42 @@
         self._view = view
         self._ledger = ledger
         self._valid = valid
+        self._alone = 0  # steps in which each change goes by itself, after a refusal
+        self._aside: dict[str, float] = {}  # changes that were refused alone: until when they are left out
         self.on_superseded: Callable[[], None] = lambda: None
 
+    @property
+    def set_aside(self) -> int:
+        return len(self._aside)
+
     async def step(self) -> bool:
         """Write one transaction. True if there was something to write and it was committed."""
         if not self._valid():
             return False
-        batch = _Batch(self._ledger.term, max(2, self._store.txn_ops))
+        now = trio.current_time()
+        self._aside = {unit: until for unit, until in self._aside.items() if until > now}
+        batch = _Batch(self._ledger.term, self._store.txn_ops)
         over, turned, progress = self._due()
         # Jobs that are over go first, since their users wait for it, then machines that wait for their first work,
         # then jobs that begin or stop to run. Mere progress never costs what these need next.
         self._records(batch, over)
         self._roster(batch)
         self._records(batch, turned)
-        spare = int(self._store.writes.level()) - C.PROGRESS_RESERVE
-        batch.ops = min(batch.ops, max(len(batch.writes), spare))
+        bucket = self._store.writes
+        # Found by reading: at the smaller store's rate the reserve was all that could be saved up, and no progress was
+        # ever written.
+        reserve = min(C.PROGRESS_RESERVE, int(bucket.burst * C.PROGRESS_RESERVE_SHARE))
+        batch.ops = min(batch.ops, max(len(batch.writes), int(bucket.level()) - reserve))
         self._records(batch, progress)
+        self._orphans(batch)
         if not batch.writes:
             return False
+        self._alone = max(0, self._alone - 1)
         try:
             txn = await self._store.multi(batch.conditions, batch.writes)
+        except Refused as error:
+            self._refused(batch, str(error), trio.current_time())
+            txn = None
         except (Unavailable, Ambiguous) as error:
             # Whether an unanswered one was carried out shows in the view; until then it stays due.
             log.debug("records: %s", error)
@@ -97,55 +120,67 @@
             after(txn.rev)
         return True
 
+    def _refused(self, batch: _Batch, why: str, now: float) -> None:
+        if len(batch.units) > 1:
+            self._alone = len(batch.units)
+            return
+        for unit in batch.units:
+            log.error("%s can't be written and is set aside: %s", unit, why)
+            self._aside[unit] = now + C.ASIDE_S
+
+    def _takes(self, batch: _Batch, unit: str) -> bool:
+        return unit not in self._aside and not (self._alone and batch.units)
+
     def _roster(self, batch: _Batch) -> None:
         """Machines that may hold work, many to a key. Each write carries the revision of what it replaces: found by
         reading, a removal that was carried out late or twice could undo a later entry of the same term, and the next
         leader would not have waited for that machine."""
         ledger = self._ledger
-        changes: dict[str, list[str]] = {}
+        bases: set[str] = set()
+        add: dict[str, dict[str, Host]] = {}
         for name in list(ledger.gone):
             host = ledger.hosts.get(name)
             if host is not None and host.synced:
                 ledger.gone.discard(name)
+            elif not any(name in value for value, _ in self._view.roster_parts(name).values()):
+                ledger.gone.discard(name)
             else:
-                changes.setdefault(roster_key(name), []).append(name)
+                bases.add(roster_key(name))
         for name, host in list(ledger.to_roster.items()):
             if not host.synced or host.rostered or host.returning:
                 del ledger.to_roster[name]
             else:
-                changes.setdefault(roster_key(name), []).append(name)
-        for key, names in changes.items():
-            known = self._view.keys.get(key)
-            value = dict(known[0]) if known is not None and isinstance(known[0], dict) else {}
-            added: list[tuple[Host, int]] = []
-            for name in names:
-                if name in ledger.gone:
-                    value.pop(name, None)
-                    continue
-                host = ledger.to_roster[name]
-                value[name] = {"f": host.flavour, "a": host.addr, "z": host.zone, "s": host.spot}
-                added.append((host, host.tenure))
-            size = len(_json(value)) + len(key) + 50
-            if size > self._store.value_bytes:
+                add.setdefault(roster_key(name), {})[name] = host
+        for base in sorted(bases | set(add)):
+            hosts = add.get(base, {})
+            parts = self._view.roster_parts(
+                next(iter(hosts), "") or next(n for n in ledger.gone if roster_key(n) == base)
+            )
+            entries = {n: {"f": h.flavour, "a": h.addr, "z": h.zone, "s": h.spot} for n, h in hosts.items()}
+            values = {key: value for key, (value, _) in parts.items()}
+            write = next_write(base, values, entries, ledger.gone, self._store.small_bytes)
+            if write is None:
                 # Without an entry a machine gets no work: that must not go unseen.
-                log.error("roster part %s: %d bytes don't fit a value; %d machines get no work", key, size, len(added))
+                log.error("roster part %s: entries of %d machines fit no value", base, len(hosts))
                 continue
-            if not batch.room(1, 1, size):
+            size = json_size(write.value) + len(write.key) + 50
+            if not self._takes(batch, write.key) or not batch.room(max(1, len(parts)), 1, size):
                 continue
-            batch.conditions.append(Condition(key, known[1] if known is not None else 0))
-            batch.writes.append(Put(key, value))
+            # Of all parts, since what is left out of one may rest on standing in another.
+            batch.conditions += [Condition(key, rev) for key, (_, rev) in parts.items()]
+            if write.key not in parts:
+                batch.conditions.append(Condition(write.key, 0))
+            batch.writes.append(Put(write.key, write.value))
             batch.size += size
-            removed = [n for n in names if n in ledger.gone]
+            batch.units.append(write.key)
+            added = [(hosts[n], hosts[n].tenure) for n in write.added if n in hosts]
+            batch.after.append(partial(self._rostered, write, added))
 
-            batch.after.append(partial(self._rostered, key, value, added, removed))
-
-    def _rostered(
-        self, key: str, value: dict[str, Any], added: list[tuple[Host, int]], removed: list[str], rev: int
-    ) -> None:
-        """A part of the roster is committed: its machines may be given work, unless they changed meanwhile."""
+    def _rostered(self, write: RosterWrite, added: list[tuple[Host, int]], rev: int) -> None:
+        """A part of the roster is committed: its machines may be given work, unless they changed meanwhile. Machines
+        that are gone stay due until they stand in no part any more."""
         ledger = self._ledger
-        self._view.apply(key, value, rev, True)
-        ledger.gone.difference_update(removed)
+        self._view.apply(write.key, write.value, rev, True)
         for host, tenure in added:
             ledger.to_roster.pop(host.name, None)
             if host.synced and host.tenure == tenure:
@@ -179,22 +214,23 @@
 
     def _records(self, batch: _Batch, due: list[Job]) -> None:
         for job in due:
-            if not self._record(batch, job):
+            if self._takes(batch, job.spec.uid) and not self._record(batch, job):
                 return
 
     def _record(self, batch: _Batch, job: Job) -> bool:
-        ledger, spec = self._ledger, job.spec
+        ledger, spec, store = self._ledger, job.spec, self._store
         uid = spec.uid
         results = ledger.unrecorded(uid)
         if job.done.count == spec.shards and not spec.endless:
-            chunks = self._view.chunks(uid) if spec.shards > C.CHUNK_SHARDS else []
-            parts_gone = [Remove(chunk_key(uid, n)) for n, _ in chunks][: max(0, batch.ops - 3)]
+            # What finds no room of its parts is removed later, as an orphan.
+            parts_gone = [Remove(key) for key in self._view.chunk_keys(uid)][: max(0, batch.ops - 3)]
             if not batch.room(1, 2 + len(parts_gone), 500):
                 return False
-            record = final_record("done", spec, spec.shards, job.why)
+            record = final_record("done", spec, spec.shards, job.why, store.small_bytes)
             batch.conditions.append(Condition(job_key(uid), job.rev))
             batch.writes += [Remove(job_key(uid)), Put(final_key(uid), record), *parts_gone]
-            batch.size += 500
+            batch.size += json_size(record) + 300
+            batch.units.append(uid)
 
             def finished(rev: int) -> None:
                 self._view.remember_final(uid, record)
@@ -205,34 +241,101 @@
             batch.after.append(finished)
             return True
         running = job.running()
-        numbers = sorted(job.dirty_chunks)[: max(1, batch.ops - 2)] if spec.shards > C.CHUNK_SHARDS else []
-        value = record_value(spec, job.done, running, job.why, job.accepted)
-        parts = [Put(chunk_key(uid, n), chunk_value(job.done, n)) for n in numbers]
-        size = len(str(value)) + sum(len(p.value) for p in parts) + 300
-        if not batch.room(1, 1 + len(parts), size):
+        value = record_value(spec, job.done, running, [], job.accepted, not job.split)
+        size = json_size(value)
+        if size > store.value_bytes and not job.split:
+            # From now on its finished tasks stand beside the record, those written before included.
+            job.split = True
+            job.dirty_parts.update(n for n in range(-(-spec.shards // C.PART_SHARDS)) if self._any_done(job, n))
+            value = record_value(spec, job.done, running, [], job.accepted, False)
+            size = json_size(value)
+        fits = (
+            size <= store.value_bytes
+        )  # else it was accepted under a larger limit: it stays as it stands till its end
+        if fits:
+            value = with_notes(value, job.why, max(size, store.small_bytes))
+            size = json_size(value) + 300
+        puts, numbers = self._parts(job, max(1, batch.ops - 1)) if job.split else ([], set())
+        size += sum(json_size(p.value) + 200 for p in puts)
+        # The record goes last, with or after all its parts, as it may leave out what it held itself before.
+        last = fits and numbers >= job.dirty_parts
+        if not puts and not last:
+            ledger.dirty.discard(uid)  # nothing of it can be written
+            return True
+        if not batch.room(1, last + len(puts), size):
             return False
         batch.conditions.append(Condition(job_key(uid), job.rev))
-        batch.writes += [Put(job_key(uid), value), *parts]
+        batch.writes += [Put(job_key(uid), value), *puts] if last else puts
         batch.size += size
-        ledger.dirty.discard(uid)
-        job.dirty_chunks.difference_update(numbers)
-
-        job.recorded_at = trio.current_time()
+        batch.units.append(uid)
+        whole = numbers >= job.dirty_parts
+        if whole:
+            ledger.dirty.discard(uid)
+            job.recorded_at = trio.current_time()
+        job.dirty_parts.difference_update(numbers)
 
         def written(rev: int) -> None:
-            job.shown_running = running
-            job.rev = max(job.rev, rev)
-            self._view.apply(job_key(uid), value, rev, True)
-            _clear(results)
+            for put in puts:
+                self._view.apply(put.key, put.value, rev, True)
+            if last:
+                job.shown_running = running
+                job.rev = max(job.rev, rev)
+                self._view.apply(job_key(uid), value, rev, True)
+            if whole:
+                _clear(results)
 
         def undone() -> None:
             ledger.dirty.add(uid)
-            job.dirty_chunks.update(numbers)
+            job.dirty_parts.update(numbers)
 
         batch.after.append(written)
         batch.undo.append(undone)
         return True
 
+    @staticmethod
+    def _any_done(job: Job, number: int) -> bool:
+        start = number * C.PART_SHARDS
+        return bool(job.done.encode(start, min(job.spec.shards, start + C.PART_SHARDS)))
+
+    def _parts(self, job: Job, most: int) -> tuple[list[Put], set[int]]:
+        """Finished tasks of a split job that are not written yet, and the numbers of the small parts that they cover:
+        in keys that the version before this one reads as well, as long as the store takes values of that length."""
+        uid, done = job.spec.uid, job.done
+        puts: list[Put] = []
+        numbers: set[int] = set()
+        for number in sorted(job.dirty_parts):
+            if number in numbers:
+                continue
+            if len(puts) == most:
+                break
+            chunk = number // _PARTS_OF_CHUNK
+            text = chunk_value(done, chunk)
+            if json_size(text) <= self._store.value_bytes:
+                puts.append(Put(chunk_key(uid, chunk), text))
+                first = chunk * _PARTS_OF_CHUNK
+                numbers.update(job.dirty_parts & set(range(first, first + _PARTS_OF_CHUNK)))
+            else:
+                puts.append(Put(part_key(uid, number), chunk_value(done, number, C.PART_SHARDS)))
+                numbers.add(number)
+        return puts, numbers
+
+    def _orphans(self, batch: _Batch) -> None:
+        """Parts of jobs that are over, out of what room is left."""
+        for uid in self._view.orphans():
+            keys = self._view.chunk_keys(uid)[: max(0, batch.ops - len(batch.writes))]
+            unit = f"parts of {uid}"
+            if not keys or not self._takes(batch, unit) or not batch.room(1, len(keys), 100 * len(keys)):
+                return
+            batch.conditions.append(Condition(job_key(uid), 0))
+            batch.writes += [Remove(key) for key in keys]
+            batch.size += 100 * len(keys)
+            batch.units.append(unit)
+            batch.after.append(partial(self._swept, keys))
+
+    def _swept(self, keys: list[str], rev: int) -> None:
+        for key in keys:
+            self._view.apply(key, None, rev, False)
+
 
 def _clear(results: list[Attempt]) -> None:
     for attempt in results:
--- a/sorrelsill/jobs/records.py
+++ b/sorrelsill/jobs/records.py
@@ -5,6 +5,8 @@
 import base64
 from typing import Any
 
+import msgspec
+
 from sorrelsill import constants as C
 from sorrelsill.fleet import Catalog
 from sorrelsill.jobs.messages import BadJob, Spec, parse_spec
@@ -76,26 +78,45 @@
     return {"s": spec.raw, "d": "", "n": 0, "r": 0, "t": round(accepted, 3)}
 
 
-def record_value(spec: Spec, done: ShardSet, running: int, why: list[str], accepted: float) -> dict[str, Any]:
-    """The live record. Very large jobs keep their finished tasks in chunks beside it."""
-    inline = done.encode(0, spec.shards) if spec.shards <= C.CHUNK_SHARDS else ""
-    value: dict[str, Any] = {"s": spec.raw, "d": inline, "n": done.count, "r": running, "t": accepted}
+def json_size(value: Any) -> int:
+    """Length in JSON form, with every sign beyond ASCII counted as an escape, since the store's way is not known."""
+    raw = msgspec.json.encode(value)
+    if raw.isascii():
+        return len(raw)
+    text = raw.decode()
+    return len(text) + sum(11 if ord(c) > 0xFFFF else 5 for c in text if not c.isascii())
+
+
+def with_notes(value: dict[str, Any], why: list[str], limit: int) -> dict[str, Any]:
+    """Add the newest notes that leave the value within the limit."""
+    kept: list[str] = []
+    for note in reversed(why):
+        trial = {**value, "w": [note, *kept]}
+        if json_size(trial) > limit:
+            break
+        kept.insert(0, note)
+    return {**value, "w": kept} if kept else value
+
+
+def record_value(
+    spec: Spec, done: ShardSet, running: int, why: list[str], accepted: float, inline: bool = True
+) -> dict[str, Any]:
+    """The live record. Very large jobs keep their finished tasks in chunks beside it (not `inline`)."""
+    text = done.encode(0, spec.shards) if inline else ""
+    value: dict[str, Any] = {"s": spec.raw, "d": text, "n": done.count, "r": running, "t": accepted}
     if why:
         value["w"] = why
     return value
 
 
-def chunk_value(done: ShardSet, number: int) -> str:
-    start = number * C.CHUNK_SHARDS
-    return done.encode(start, min(done.size, start + C.CHUNK_SHARDS))
+def chunk_value(done: ShardSet, number: int, size: int = C.CHUNK_SHARDS) -> str:
+    start = number * size
+    return done.encode(start, min(done.size, start + size))
 
 
-def final_record(phase: str, spec: Spec, done: int, why: list[str]) -> dict[str, Any]:
+def final_record(phase: str, spec: Spec, done: int, why: list[str], limit: int) -> dict[str, Any]:
     """What is kept for ever."""
-    value: dict[str, Any] = {"p": phase, "n": done, "o": spec.team}
-    if why:
-        value["w"] = why
-    return value
+    return with_notes({"p": phase, "n": done, "o": spec.team}, why, limit)
 
 
 def parse_record(value: Any, chunks: list[tuple[int, Any]]) -> tuple[Spec, ShardSet, list[str]]:
@@ -105,8 +126,8 @@
     spec = parse_spec(value.get("s"))
     done = ShardSet(spec.shards)
     done.merge(str(value.get("d") or ""), 0)
-    for number, text in chunks:
-        done.merge(str(text), number * C.CHUNK_SHARDS)
+    for start, text in chunks:
+        done.merge(str(text), start)
     return spec, done, [str(w) for w in value.get("w") or []]
 
 
--- a/sorrelsill/metrics.py
+++ b/sorrelsill/metrics.py
@@ -6,7 +6,17 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
-_GAUGES = ("jobs", "hosts", "unheard", "unplaced", "store_failing_s")
+_GAUGES = (
+    "jobs",
+    "hosts",
+    "unheard",
+    "unplaced",
+    "groups",
+    "groups_waiting",
+    "store_failing_s",
+    "refused",
+    "set_aside",
+)
 
 
 def render(state: dict[str, Any]) -> bytes:
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -16,7 +16,7 @@
 from sorrelsill import constants as C
 from sorrelsill.fleet import Catalog, Cloud, FleetManager, parse_catalog
 from sorrelsill.http import Client, Reply, Request
-from sorrelsill.jobs import Admission, BadJob, Busy, Recorder, parse_record
+from sorrelsill.jobs import Admission, BadJob, Busy, Recorder, json_size, parse_record
 from sorrelsill.leadership import Elector, Watchdog
 from sorrelsill.peers import Standstill
 from sorrelsill.placement import Placer
@@ -181,6 +181,7 @@
         # What the record says already need not be written again: after a takeover that would be one write a job.
         running = value.get("r")
         job.shown_running = running if isinstance(running, int) else 0
+        job.split |= bool(self.view.chunk_keys(uid))
         return True
 
     def _on_catalog(self, raw: dict[str, Any], catalog: Catalog) -> None:
@@ -308,6 +309,10 @@
             "hosts": len(ledger.hosts) if ledger else None,
             "unheard": len(ledger.unheard) if ledger else None,
             "unplaced": sum(u.count for u in self.placer.unplaced.values()) if ledger else None,
+            "groups": len(ledger.groups) if ledger else None,
+            "groups_waiting": sum(1 for j in ledger.groups.values() if not j.running()) if ledger else None,
+            "refused": self.store.refused,
+            "set_aside": self.recorder.set_aside if self.recorder else 0,
             "counts": self.counts,
         }
 
@@ -374,6 +379,10 @@
             await self.recorder.step()
         if self._catalog_raw is not None and self._catalog_raw != self._catalog_saved and self.elector.valid():
             raw = self._catalog_raw
+            if json_size(raw) > self.store.value_bytes:
+                log.error("the catalog is too long to be kept; a new leader has to wait for the cloud")
+                self._catalog_saved = raw
+                return
             try:
                 txn = await self.store.multi([Condition(LEADER, self.elector.term or 0)], [Put(CATALOG, raw)])
                 if txn.ok:
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -52,11 +52,31 @@
     gang_peer_s: float = 5.0
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """What the state service will allow from some moment on, without notice; 0 where nothing changes."""
+
+    write_rps: float = 0.0
+    value_kb: float = 0.0
+    txn_ops: int = 0
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextLimits | None = None
+
+    @property
+    def coming(self) -> StateLimits:
+        """The smaller of what holds now and what will."""
+        n = self.next or NextLimits()
+        return StateLimits(
+            self.rps,
+            min(self.write_rps, n.write_rps or self.write_rps),
+            min(self.value_kb, n.value_kb or self.value_kb),
+            min(self.txn_ops, n.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
@@ -181,6 +201,12 @@
         ("facts.quota.sockets", facts.quota.sockets),
     ):
         _positive(path, field, value)
+    for prefix, ops in (("", facts.state.txn_ops), ("next.", facts.state.coming.txn_ops)):
+        if ops < C.LEAST_OPS:
+            raise SettingsError(f"{path}: facts.state.{prefix}txn_ops: must be at least {C.LEAST_OPS}, is {ops}")
+    if facts.state.next is not None:
+        for name in ("write_rps", "value_kb", "txn_ops"):
+            _positive(path, f"facts.state.next.{name}", getattr(facts.state.next, name), zero=True)
     for team in facts.teams:
         for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
             _positive(path, f"facts.teams[{team.name}].{name}", getattr(team, name), zero=True)
--- a/sorrelsill/standins/store.py
+++ b/sorrelsill/standins/store.py
@@ -24,9 +24,41 @@
         self.outage = False
         self.refused: set[str] = set()  # controllers that alone receive 503
         self.txn_ops, self.value_kb = txn_ops, value_kb
+        self.write_rps = float("inf")
+        self._tokens, self._filled = 0.0, 0.0
+        self.refusals: list[tuple[float, str]] = []  # transactions that were larger than allowed: when, and why
+        self.throttled = 0
         self.requests: list[tuple[float, str, Request]] = []
         self._changed = trio.Event()
 
+    def narrow(self, value_kb: float, txn_ops: int, write_rps: float) -> None:
+        """Smaller limits, without notice."""
+        self.value_kb, self.txn_ops, self.write_rps = value_kb, txn_ops, write_rps
+        self._tokens, self._filled = write_rps, trio.current_time()
+
+    def _too_large(self, body: dict[str, Any]) -> str | None:
+        writes = body["writes"]
+        if len(writes) > self.txn_ops or len(body["if"]) > 4 * self.txn_ops:
+            return f"{len(writes)} writes, {len(body['if'])} conditions"
+        if len(msgspec.json.encode(body)) > 64 * 1024:
+            return "transaction too long"
+        for write in writes:
+            if len(msgspec.json.encode(write.get("value"))) > self.value_kb * 1024:
+                return f"value of {write['set']} too long"
+        return None
+
+    def _over_rate(self, count: int) -> bool:
+        if self.write_rps == float("inf"):
+            return False
+        now = trio.current_time()
+        self._tokens = min(self.write_rps, self._tokens + (now - self._filled) * self.write_rps)
+        self._filled = now
+        if self._tokens < count:
+            self.throttled += 1
+            return True
+        self._tokens -= count
+        return False
+
     def begin_outage(self) -> None:
         self.outage = True
 
@@ -103,15 +135,18 @@
 
     def _multi(self, body: dict[str, Any]) -> Reply:
         writes = body["writes"]
-        assert len(writes) <= self.txn_ops and len(body["if"]) <= 4 * self.txn_ops, "transaction too large"
-        assert len(msgspec.json.encode(body)) <= 64 * 1024, "transaction too long"
+        why = self._too_large(body)
+        if why is not None:
+            self.refusals.append((trio.current_time(), why))
+            return Reply(400, _encode({"error": why}))
+        if self._over_rate(len(writes)):
+            return Reply(429, _encode({"error": "too many changes"}))
         leaders_own = [w for w in writes if str(w.get("set") or w.get("remove")).startswith(("s/m/", "s/catalog"))]
         assert not leaders_own or "s/leader" in [c["k"] for c in body["if"]], "a leader's write without its condition"
         conditioned = {c["k"] for c in body["if"]}
         roster = [k for w in writes if (k := str(w.get("set") or w.get("remove"))).startswith("s/m/")]
         assert conditioned.issuperset(roster), "a roster write without its own revision"
         for write in writes:
-            assert len(msgspec.json.encode(write.get("value"))) <= self.value_kb * 1024, "value too long"
             if write.get("tenancy") is not None and write["tenancy"] not in self.leases:
                 return Reply(400, _encode({"error": "no such lease"}))
         failed = [c["k"] for c in body["if"] if (self.kv[c["k"]][1] if c["k"] in self.kv else 0) != c["keyRev"]]
--- a/sorrelsill/standins/world.py
+++ b/sorrelsill/standins/world.py
@@ -16,6 +16,7 @@
     CloudLimits,
     Facts,
     Member,
+    NextLimits,
     Operator,
     Services,
     Settings,
@@ -49,11 +50,16 @@
 
 
 class World:
-    def __init__(self, nursery: trio.Nursery, seed: int, teams: list[Team], txn_ops: int = 16) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, seed: int, teams: list[Team], txn_ops: int = 16, coming: NextLimits | None = None
+    ) -> None:  # fmt: skip
+        self.coming = coming
+        self.may_refuse = 0  # transactions that the store may refuse as too large in this story
         self.nursery = nursery
         self.rng = random.Random(seed)
         self.net = FakeNet(nursery)
         self.store = FakeStore(txn_ops=txn_ops)
+        self.value_kb, self.txn_ops = self.store.value_kb, txn_ops  # as the settings tell
         self.cloud = FakeCloud(self._boot)
         self.cloud.on_return = self.kill_machine
         self.teams = teams
@@ -82,7 +88,7 @@
         members = [Member(o, f"{o}:peer") for o in LABELS if o != label]
         facts = Facts(
             workers=Workers(REPORT_S, LEASE_S, CANCEL_S, GANG_WAIT_S, GANG_PEER_S),
-            state=StateLimits(500.0, 200.0, self.store.value_kb, self.store.txn_ops),
+            state=StateLimits(500.0, 200.0, self.value_kb, self.txn_ops, self.coming),
             cloud=CloudLimits(5.0, 2.0),
             nodes=len(LABELS),
             teams=self.teams,
@@ -269,18 +275,20 @@
 
 
 def story(
-    tell: Callable[[World], Awaitable[None]], seed: int = 1, teams: list[Team] | None = None, txn_ops: int = 16
-) -> World:
+    tell: Callable[[World], Awaitable[None]], seed: int = 1, teams: list[Team] | None = None, txn_ops: int = 16,
+    coming: NextLimits | None = None,
+) -> World:  # fmt: skip
     """Run a story on a virtual clock, and check at its end that no rule was broken on the way."""
     worlds: list[World] = []
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            world = World(nursery, seed, teams or [Team("red"), Team("blue")], txn_ops)
+            world = World(nursery, seed, teams or [Team("red"), Team("blue")], txn_ops, coming)
             worlds.append(world)
             await tell(world)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not worlds[0].broken, worlds[0].broken
+    assert len(worlds[0].store.refusals) <= worlds[0].may_refuse, worlds[0].store.refusals
     return worlds[0]
--- a/sorrelsill/store/client.py
+++ b/sorrelsill/store/client.py
@@ -29,6 +29,10 @@
         self.throttled = throttled
 
 
+class Refused(Unavailable):
+    """The store will never carry it out as it is: a value or the whole is larger than it allows."""
+
+
 class Ambiguous(Exception):
     """No proper answer: the request may have been carried out, or may yet be, minutes later."""
 
@@ -79,17 +83,25 @@
         self._client = client
         rps = limits.rps * C.STORE_SHARE / max(1, nodes)
         self.requests = Bucket(rps, max(2.0, rps / 2))
+        coming = limits.coming
         self._write_rate = limits.write_rps * C.STORE_SHARE
+        self._coming_rate = coming.write_rps * C.STORE_SHARE
+        self._leading = False
         self._nodes = max(1, nodes)
         self.writes = Bucket(1.0, 1.0)
         self.set_leading(False)
         self.last_ok = trio.current_time()  # send time of the last request that was answered properly
         self.failing_since: float | None = None
-        self.txn_ops = limits.txn_ops
-        self.value_bytes = int(limits.value_kb * 1024)
+        # Smaller limits come without notice. What costs nothing keeps to them from the start; the longest values and
+        # the rate only once the store has refused something.
+        self.txn_ops = coming.txn_ops
+        self.value_bytes = int(limits.value_kb * 1024 * C.VALUE_SHARE)  # in force, as far as is known
+        self.small_bytes = int(coming.value_kb * 1024 * C.VALUE_SHARE)
+        self.refused = 0
 
     def set_leading(self, leading: bool) -> None:
         """The leader writes most, so it gets the larger part of the store's write rate."""
+        self._leading = leading
         share = C.LEADER_WRITE_SHARE if leading else (1 - C.LEADER_WRITE_SHARE) / max(1, self._nodes - 1)
         if self._nodes == 1:
             share = 1.0
@@ -180,13 +192,24 @@
         except Unavailable as error:
             if error.throttled:
                 self.writes.drain()
+                if writes and self._coming_rate < self._write_rate:
+                    log.info("the store refuses writes for their rate: keeping to the lower one")
+                    self._write_rate = self._coming_rate
+                    self.set_leading(self._leading)
             raise
         if status == 200:
             return Txn(True, _rev(answer, "storeRev"))
         if status == 409:
             return Txn(False, _rev(answer, "storeRev"), [str(k) for k in answer.get("failed") or []])
-        # 400: malformed or, for a put with a lease, that lease has ended. Either way nothing was done.
-        raise Unavailable(f"the store answers {status}: {answer.get('error')}")
+        # 400: malformed, too large or, for a put with a lease, that lease has ended. Either way nothing was done.
+        text = f"the store answers {status}: {answer.get('error')}"
+        if status == 400 and not any(isinstance(w, Put) and w.lease is not None for w in writes):
+            self.refused += 1
+            if self.small_bytes < self.value_bytes:
+                log.info("the store refuses a transaction (%s): keeping to the smaller values", answer.get("error"))
+                self.value_bytes = self.small_bytes
+            raise Refused(text)
+        raise Unavailable(text)
 
     async def grant(self, ttl_s: float, timeout: float) -> int:
         status, answer = await self._call("POST", "/grants", {"ttlMs": int(ttl_s * 1000)}, timeout=timeout, urgent=True)
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -3,9 +3,11 @@
 All keys begin with `s/`, so that one watch sees everything:
   s/leader       who leads, attached to the leader's lease
   s/j/<uid>      a live job: description, finished tasks, counts
-  s/d/<uid>/<n>  finished tasks of a very large job, one key per part
+  s/d/<uid>/<n>  finished tasks of a very large job, 16,384 to a key
+  s/e/<uid>/<n>  the same, 4,096 to a key: only where the store refuses longer values
   s/f/<uid>      a job that is over, kept for ever
-  s/m/<part>     machines that may have been given work, those of one part in one map
+  s/m/<part>     machines that may have been given work, those of one part in one map; a full part goes on in
+                 s/m/<part>.1 and so on, and a machine may stand in more than one
   s/catalog      the machine types as last read
 """
 
@@ -26,7 +28,7 @@
 
 LEADER = "s/leader"
 CATALOG = "s/catalog"
-_JOB, _CHUNK, _FINAL, _ROSTER = "s/j/", "s/d/", "s/f/", "s/m/"
+_JOB, _CHUNK, _PART, _FINAL, _ROSTER = "s/j/", "s/d/", "s/e/", "s/f/", "s/m/"
 
 Listener = Callable[[str, Any, int], None]
 
@@ -43,6 +45,10 @@
     return f"{_CHUNK}{uid}/{number}"
 
 
+def part_key(uid: str, number: int) -> str:
+    return f"{_PART}{uid}/{number}"
+
+
 def roster_key(host: str) -> str:
     """Machines share a few keys, so that hundreds that come or go together cost a few writes."""
     return f"{_ROSTER}{zlib.crc32(host.encode()) % C.ROSTER_PARTS:02d}"
@@ -78,8 +84,31 @@
         return [(k[len(_JOB) :], v, r) for k, (v, r) in self.keys.items() if k.startswith(_JOB)]
 
     def chunks(self, uid: str) -> list[tuple[int, Any]]:
-        head = f"{_CHUNK}{uid}/"
-        return [(int(k[len(head) :]), self.keys[k][0]) for k in sorted(self._chunk_keys.get(uid, ()))]
+        """Finished tasks kept beside a job's record: from which task on, and their text."""
+        out = []
+        for key in self.chunk_keys(uid):
+            number = key.rpartition("/")[2]
+            if number.isdecimal():
+                size = C.CHUNK_SHARDS if key.startswith(_CHUNK) else C.PART_SHARDS
+                out.append((int(number) * size, self.keys[key][0]))
+        return out
+
+    def chunk_keys(self, uid: str) -> list[str]:
+        return sorted(self._chunk_keys.get(uid, ()))
+
+    def orphans(self) -> list[str]:
+        """Jobs that are over and left such keys: their end had no room for the removal of all."""
+        return [uid for uid in self._chunk_keys if _JOB + uid not in self.keys]
+
+    def roster_parts(self, host: str) -> dict[str, tuple[dict[str, Any], int]]:
+        """The keys, with value and revision, in which a machine's entry may stand."""
+        key = base = roster_key(host)
+        out: dict[str, tuple[dict[str, Any], int]] = {}
+        while key in self.keys:
+            value, rev = self.keys[key]
+            out[key] = (value if isinstance(value, dict) else {}), rev
+            key = f"{base}.{len(out)}"
+        return out
 
     def roster(self) -> list[tuple[str, Any]]:
         parts = [v for k, (v, _) in self.keys.items() if k.startswith(_ROSTER) and isinstance(v, dict)]
@@ -111,7 +140,7 @@
             return
         if present:
             self.keys[key] = (value, rev)
-            if key.startswith(_CHUNK):
+            if key.startswith((_CHUNK, _PART)):
                 self._chunk_keys.setdefault(key[len(_CHUNK) :].partition("/")[0], set()).add(key)
         elif known is not None:
             del self.keys[key]
@@ -121,7 +150,7 @@
 
     def _note_gone(self, key: str, value: Any) -> None:
         """A job that was cancelled may run on for a while: a new leader counts its tasks toward its team's limit."""
-        if key.startswith(_CHUNK):
+        if key.startswith((_CHUNK, _PART)):
             uid = key[len(_CHUNK) :].partition("/")[0]
             self._chunk_keys[uid].discard(key)
             if not self._chunk_keys[uid]:
@@ -145,7 +174,7 @@
         fresh: dict[str, tuple[Any, int]] = {}
         sent_at = trio.current_time()
         since: int | None = None
-        for prefix in (_JOB, _CHUNK, _ROSTER, LEADER, CATALOG):
+        for prefix in (_JOB, _CHUNK, _PART, _ROSTER, LEADER, CATALOG):
             found, rev = await self._store.scan(prefix)
             since = rev if since is None else min(since, rev)
             fresh.update(found)
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -146,8 +146,8 @@
     """A live job as the leader sees it."""
 
     __slots__ = (
-        "accepted", "avoid", "bound", "cursor", "done", "dirty_chunks", "errors", "not_before", "old", "order",
-        "recorded_at", "requeued", "rev", "served_at", "shown_running", "spec", "submitted", "why", "zones",
+        "accepted", "avoid", "bound", "cursor", "done", "dirty_parts", "errors", "not_before", "old", "order",
+        "recorded_at", "requeued", "rev", "served_at", "shown_running", "spec", "split", "submitted", "why", "zones",
     )  # fmt: skip
 
     def __init__(self, spec: Spec, done: ShardSet, rev: int, old: bool, now: float, why: list[str]) -> None:
@@ -166,7 +166,8 @@
         self.errors = 0
         self.not_before = 0.0
         self.avoid: dict[str, float] = {}
-        self.dirty_chunks: set[int] = set()
+        self.dirty_parts: set[int] = set()  # of its finished tasks, `PART_SHARDS` to a part, what is not recorded yet
+        self.split = spec.shards > C.CHUNK_SHARDS  # its finished tasks are kept beside its record
         self.shown_running = 0  # tasks that run, as the record says
         self.recorded_at = now
         self.order = 0
@@ -864,7 +865,7 @@
                 # The tasks of a group complete together, also those whose machines die before they tell.
                 for index in range(job.spec.shards) if job.spec.whole else (attempt.index,):
                     if job.done.add(index):
-                        job.dirty_chunks.add(index // C.CHUNK_SHARDS)
+                        job.dirty_parts.add(index // C.PART_SHARDS)
                         self.dirty.add(attempt.uid)
                 job.errors = 0
             else:
