--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -119,6 +119,7 @@
 PREEMPT_BASE_S: Final = 5.0  # s; what a stop costs besides the lost run time: fetching and starting again
 WARM_CLAIM_S: Final = 1.0  # s; the same on machines that hold the image; then any machine will do
 GROUP_SAMPLES: Final = 4  # samples; a group needs room on several machines at once, so it looks at more of them
+GROUP_SPARE: Final = 1.0  # groups; of each class whose tasks should start within seconds, room kept ready in one zone
 GROUP_HOLD_S: Final = 30.0  # s; machines are kept filling up for a group this long: most tasks end within it
 GROUP_HOLD_HOSTS: Final = 16  # machines; kept for one group at the most
 GROUP_HOLD_SHARE: Final = 0.1  # ratio; of the machines, kept for groups together
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -231,6 +232,7 @@
         # A group that waits needs several machines at once: found in a story, each machine rented for it went back as
         # idle before the next was up.
         awaited = [(u.job.spec, u.zone) for u in self._demand() if u.job.spec.whole and not u.limited]
+        free, kept = self._group_room()
         room: dict[str, int] | None = None  # worked out only if a machine could go, since it walks all of them
         for host in self._ledger.hosts.values():
             if host.name in self._give_back:
@@ -250,6 +252,10 @@
             elif now - max(host.idle_since, self._ledger.started) > self._patience(host):
                 if any(zone in (None, host.zone) and host.allows(spec) for spec, zone in awaited):
                     continue
+                if kept and not host.spot:
+                    if host.zone == max(sorted(free), key=lambda z: free[z]) and free[host.zone] - host.cap_cpus < kept:
+                        continue
+                    free[host.zone] -= host.cap_cpus
                 if spare is not None and host.allows(spare):
                     if room is None:
                         room = self._spare_room(spare)
@@ -367,7 +373,7 @@
                         patient,
                     )  # fmt: skip
                 )
-        return out + self._spare_needs() + (self._headroom() if self._hurried else [])
+        return out + self._spare_needs() + self._group_needs() + (self._headroom() if self._hurried else [])
 
     def _headroom(self) -> list[Need]:
         """Where time counts, whole machines ahead of the work: in a burst of arrays a boot costs more than their run.
@@ -383,6 +389,30 @@
         missing = int((C.HEADROOM * used - free) / max(kind.cpus, 0.1))
         return [Need(missing, kind.cpus, 0.0, kind.memory, None, None, True, None)] if missing > 0 else []
 
+    def _group_room(self) -> tuple[dict[str, float], float]:
+        """CPUs on ordinary machines, free or coming, by zone; and how many are kept ready in one zone for groups."""
+        kept = 0.0 if self._hurried else self._ledger.group_spare(self._prompt)
+        if not kept:
+            return {}, 0.0
+        free = dict.fromkeys(self._ledger.catalog.zones, 0.0) | self._ledger.ordinary_room()
+        for p in self.pending.values():
+            kind = self._ledger.catalog.flavours.get(p.flavour)
+            if kind is not None and not p.spot:
+                free[p.zone] = free.get(p.zone, 0.0) + kind.cpus
+        return free, kept
+
+    def _group_needs(self) -> list[Need]:
+        free, kept = self._group_room()
+        if not kept:
+            return []
+        zone = max(sorted(free), key=lambda z: free[z])
+        groups = [s for name in self._prompt if (s := self._ledger.largest_group.get(name)) is not None]
+        spec = max(groups, key=lambda s: (s.cpus, s.uid))
+        missing = math.ceil((kept - free[zone]) / max(spec.cpus, 0.1))
+        if missing <= 0:
+            return []
+        return [Need(missing, spec.cpus, spec.gpus, spec.memory, spec.flavours, zone, False, None)]
+
     def _spare_spec(self) -> Spec | None:
         """The largest live service of a class whose tasks should start within seconds: room for one more of
         it is kept ready, since a machine takes far longer to boot."""
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -69,6 +69,9 @@
         self._held: dict[str, tuple[str, int, float]] = {}  # machine -> group it fills up for, its rank, until when
         self._warm_until: dict[str, float] = {}  # job -> until when room on machines with its image is awaited
         self._barren: dict[tuple[object, ...], float] = {}  # kind of work -> until when no room is looked for
+        self._spare = 0.0  # CPUs kept for groups ...
+        self._spare_zone = ""  # ... in this zone ...
+        self._room: dict[str, float] = {}  # ... of what is free on ordinary machines
         self.unplaced: dict[str, Unplaced] = {}
         self.guaranteed: set[str] = set()
 
@@ -162,6 +165,7 @@
                 if held[2] > now and (job := ledger.jobs.get(held[0])) is not None and job.waiting
             }  # fmt: skip
             self._warm_until = {u: t for u, t in self._warm_until.items() if u in ledger.jobs}
+        self._find_spare(ledger)
         hosts = list(ledger.ready.values())
         full: set[tuple[object, ...]] = set()
         while self._left:
@@ -208,6 +212,8 @@
             if self._slow_start(ledger, job, host) and self._await_warm(ledger, job, hosts, now):
                 break
             ledger.bind(job, index, host, now)
+            if not host.spot and host.zone in self._room:
+                self._room[host.zone] -= spec.cpus
             if self._reserved.get(host.name, ("", 0.0))[0] == spec.uid:
                 del self._reserved[host.name]
             if self._claims.get(spec.uid):
@@ -246,6 +252,12 @@
             places = [s.host for s in seatings[0].seats for _ in range(s.count)]
             for index, host in enumerate(places):
                 ledger.bind(job, index, host, now, try_no)
+                if not host.spot and host.zone in self._room:
+                    self._room[host.zone] -= spec.cpus
+            log.debug(
+                "group %s: %d tasks on %d machines in %s, %.2f s after submission, image %s", spec.uid, spec.shards,
+                len(seatings[0].seats), seatings[0].zone, now - job.submitted, "missing" if seatings[0].cold else "held",
+            )  # fmt: skip
             self._release(spec.uid)
             return
         full.add(sign)
@@ -263,6 +275,24 @@
                 best.zone if best is not None else spec.zone,
             )
 
+    def _find_spare(self, ledger: Ledger) -> None:
+        """Room that is kept for groups that should start within seconds, where money counts: other work that has no
+        higher rank leaves it free. Where time counts there is headroom for all."""
+        self._spare = 0.0 if self._hurried else ledger.group_spare(self._start_within)
+        self._room = ledger.ordinary_room() if self._spare else {}
+        self._spare_zone = max(sorted(self._room), key=lambda z: self._room[z], default="")
+
+    def _spares(self, spec: Spec, host: Host) -> bool:
+        """Whether a task may go there without taking that room."""
+        return (
+            not self._spare
+            or host.spot
+            or spec.rank == _PROD
+            or spec.whole
+            or host.zone != self._spare_zone
+            or self._room[host.zone] - spec.cpus >= self._spare
+        )
+
     def _release(self, uid: str) -> None:
         """The job has its places: what was kept for it is free for others."""
         self._claims.pop(uid, None)
@@ -395,7 +425,7 @@
         if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
             return False
         # Without the reservation small tasks take what is freed piece by piece, and more is stopped for nothing.
-        return self._open_to(job, host, now)
+        return self._open_to(job, host, now) and self._spares(spec, host)
 
     def _spreads(self, job: Job) -> bool:
         """Replicas that should start within seconds go to many machines: each then holds the image for the next ones,
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -233,6 +233,7 @@
         self.overdue_s = overdue_s
         self.peer_s = peer_s  # within this the tasks of a group notice that one is gone, and have to be told to save
         self.groups: dict[str, Job] = {}  # the live jobs whose tasks run together
+        self.largest_group: dict[str, Spec] = {}  # class -> its largest group of this term
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, Host] = {}
         self.team_cpus: dict[str, float] = {}
@@ -275,6 +276,9 @@
         self.jobs[spec.uid] = job
         if spec.whole:
             self.groups[spec.uid] = job
+            largest = self.largest_group.get(spec.workload)
+            if largest is None or largest.cpus * largest.shards < spec.cpus * spec.shards:
+                self.largest_group[spec.workload] = spec
         self.version += 1
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.uid)
@@ -458,6 +462,19 @@
             host.fetching.clear()
         self.wake_placing = True
 
+    def ordinary_room(self) -> dict[str, float]:
+        """CPUs free on machines that won't be taken back, by zone."""
+        room: dict[str, float] = {}
+        for host in self.free.values():
+            if not host.spot:
+                room[host.zone] = room.get(host.zone, 0.0) + host.cap_cpus - host.cpus
+        return room
+
+    def group_spare(self, classes: Iterable[str]) -> float:
+        """CPUs for one more group of each of these classes, as large as the largest seen."""
+        largest = (self.largest_group.get(name) for name in classes)
+        return C.GROUP_SPARE * sum(s.cpus * s.shards for s in largest if s is not None)
+
     def alive(self, uid: str) -> bool:
         """Whether any attempt of the job may still be on a machine, one too many included."""
         return any(not attempt.exited for attempt in self.by_job.get(uid, ()))
