--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -355,7 +355,7 @@
                 continue
             job, spec = item.job, item.job.spec
             count = min(item.count, 40 * C.RENT_MAX)
-            if spec.due_s is not None and not spec.endless:
+            if spec.due_s is not None and not spec.endless and not spec.whole:
                 count = min(count, self._enough(item, now))
             if count > 0:
                 patient = spec.spot and not self._hurried and self._can_wait(item, now)
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -256,7 +256,7 @@
                     self._room[host.zone] -= spec.cpus
             log.debug(
                 "group %s: %d tasks on %d machines in %s, %.2f s after submission, image %s", spec.uid, spec.shards,
-                len(seatings[0].seats), seatings[0].zone, now - job.submitted, "missing" if seatings[0].cold else "held",
+                len(seatings[0].seats), seatings[0].zone, now - job.submitted, "cold" if seatings[0].cold else "held",
             )  # fmt: skip
             self._release(spec.uid)
             return
