--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -182,6 +182,10 @@
         running = value.get("r")
         job.shown_running = running if isinstance(running, int) else 0
         job.split |= bool(self.view.chunk_keys(uid))
+        if job.split and value.get("d"):
+            # Written by the version before this one, which knows of no parts beside the record of a smaller job: what
+            # it adds stands only there, and has to go into the parts before the record leaves it out.
+            job.dirty_parts.update(range(-(-spec.shards // C.PART_SHARDS)))
         return True
 
     def _on_catalog(self, raw: dict[str, Any], catalog: Catalog) -> None:
--- a/sorrelsill/stories/test_upgrade.py
+++ b/sorrelsill/stories/test_upgrade.py
@@ -184,6 +184,37 @@
     story(tell, old=True, coming=COMING)
 
 
+def test_what_an_old_leader_adds_to_a_job_kept_in_parts_is_not_lost() -> None:
+    """Found by reading: a record that the former version wrote in full was left out of the parts beside it."""
+
+    async def tell(world: World) -> None:
+        shards = 9000
+        await world.submit(job("run-big", shards=shards, vcpus=7.0, expectedRunS=500.0))
+        node = world.nodes[await world.until_leader()]
+        assert node.ledger is not None
+        world.store.rev += 1
+        world.store.kv["s/d/run-big/0"] = ("0-99", world.store.rev, None)
+        world.store.log.append((world.store.rev, "s/d/run-big/0", "0-99", True))
+        value, _, _ = world.store.kv["s/j/run-big"]
+        world.store.rev += 1
+        world.store.kv["s/j/run-big"] = ({**value, "d": "200-299", "n": 200}, world.store.rev, None)
+        world.store.log.append((world.store.rev, "s/j/run-big", world.store.kv["s/j/run-big"][0], True))
+        for _ in range(3):
+            label = await world.until_leader()
+            world.kill(label)
+            await trio.sleep(0.3)
+            world.start(label)
+            node = world.nodes[await world.until_leader()]
+            assert node.ledger is not None
+            done = node.ledger.jobs["run-big"].done
+            assert done.count == 200 and 0 in done and 299 in done
+            node.ledger.dirty.add("run-big")
+            await trio.sleep(9)
+        assert world.store.kv["s/j/run-big"][0]["d"] == "", "and the record is short again"
+
+    story(tell)
+
+
 def test_a_group_that_old_leaders_come_upon_breaks_no_rule() -> None:
     """Nothing new is asked before all are new; but an operator may go back."""
 
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -276,6 +276,10 @@
         self.jobs[spec.uid] = job
         if spec.whole:
             self.groups[spec.uid] = job
+            if done.count:
+                # Its tasks complete together; the version before this one recorded them one by one.
+                for index in range(spec.shards):
+                    done.add(index)
             largest = self.largest_group.get(spec.workload)
             if largest is None or largest.cpus * largest.shards < spec.cpus * spec.shards:
                 self.largest_group[spec.workload] = spec
