--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -436,7 +436,7 @@
         cpus, memory = host.cap_cpus, host.cap_memory
         for attempt in host.attempts.values() if host.live else ():
             kept = attempt.spec
-            if kept is not None and kept.rank <= spec.rank:
+            if kept is not None and (kept.rank <= spec.rank or kept.whole):
                 cpus -= kept.cpus
                 memory -= kept.memory
         return max(0, int(min(cpus / max(spec.cpus, 0.1), memory / max(spec.memory, 0.1)) + 1e-6))
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -506,7 +506,8 @@
         if not offers and len(hosts) > len(may):
             # Looked at in vain: with all waiting jobs asking in each round, nothing else would get done.
             self._barren[kind] = now + C.BARREN_S
-        offers.sort(key=lambda found: found[0])
+        # Found on a measured day: a service that came in a busy minute stopped group after group, each whole.
+        offers.sort(key=lambda found: (any(a.uid in ledger.groups for a in found[1]), found[0]))
         made = 0
         zones = dict(job.zones)  # with what the room made in this round will add
         for _, victims in offers:
@@ -545,7 +546,7 @@
         if any(a.stop and a.spec is not None and a.stop_reason == mine for a in host.attempts.values()):
             return None  # room is being made here for this job already
         can = [a for a in host.attempts.values() if not a.stop and self._may_stop(ledger, job, a)]
-        can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), self._loss(ledger, a, now)))
+        can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), a.uid in ledger.groups, self._loss(ledger, a, now)))
         cost, chosen = 0.0, []
         for attempt in can:
             if cpus + 1e-6 >= need_cpus and gpus + 1e-6 >= need_gpus and memory + 1e-6 >= need_memory:
