--- a/sorrelsill/jobs/recorder.py
+++ b/sorrelsill/jobs/recorder.py
@@ -138,7 +138,7 @@
         reading, a removal that was carried out late or twice could undo a later entry of the same term, and the next
         leader would not have waited for that machine."""
         ledger = self._ledger
-        bases: set[str] = set()
+        bases: dict[str, str] = {}  # key of a part -> a machine of it
         add: dict[str, dict[str, Host]] = {}
         for name in list(ledger.gone):
             host = ledger.hosts.get(name)
@@ -147,17 +147,16 @@
             elif not any(name in value for value, _ in self._view.roster_parts(name).values()):
                 ledger.gone.discard(name)
             else:
-                bases.add(roster_key(name))
+                bases[roster_key(name)] = name
         for name, host in list(ledger.to_roster.items()):
             if not host.synced or host.rostered or host.returning:
                 del ledger.to_roster[name]
             else:
+                bases[roster_key(name)] = name
                 add.setdefault(roster_key(name), {})[name] = host
-        for base in sorted(bases | set(add)):
+        for base, one in sorted(bases.items()):
             hosts = add.get(base, {})
-            parts = self._view.roster_parts(
-                next(iter(hosts), "") or next(n for n in ledger.gone if roster_key(n) == base)
-            )
+            parts = self._view.roster_parts(one)
             entries = {n: {"f": h.flavour, "a": h.addr, "z": h.zone, "s": h.spot} for n, h in hosts.items()}
             values = {key: value for key, (value, _) in parts.items()}
             write = next_write(base, values, entries, ledger.gone, self._store.small_bytes)
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -282,8 +282,10 @@
         self._room = ledger.ordinary_room() if self._spare else {}
         self._spare_zone = max(sorted(self._room), key=lambda z: self._room[z], default="")
 
-    def _spares(self, spec: Spec, host: Host) -> bool:
-        """Whether a task may go there without taking that room."""
+    def _spares(self, job: Job, host: Host, now: float) -> bool:
+        """Whether a task may go there without taking that room. What has waited too long may take it, or an array
+        could wait for ever where the cloud has no more machines to give."""
+        spec = job.spec
         return (
             not self._spare
             or host.spot
@@ -291,6 +293,7 @@
             or spec.whole
             or host.zone != self._spare_zone
             or self._room[host.zone] - spec.cpus >= self._spare
+            or aged_out(job, now)
         )
 
     def _release(self, uid: str) -> None:
@@ -425,7 +428,7 @@
         if spec.scatter and job.zones.get(host.zone, 0) + 1 > spec.zone_limit:
             return False
         # Without the reservation small tasks take what is freed piece by piece, and more is stopped for nothing.
-        return self._open_to(job, host, now) and self._spares(spec, host)
+        return self._open_to(job, host, now) and self._spares(job, host, now)
 
     def _spreads(self, job: Job) -> bool:
         """Replicas that should start within seconds go to many machines: each then holds the image for the next ones,
--- a/sorrelsill/stories/test_groups.py
+++ b/sorrelsill/stories/test_groups.py
@@ -1,5 +1,6 @@
 """Jobs that start together or not at all."""
 
+import random
 from typing import Any
 
 import trio
@@ -324,3 +325,38 @@
         assert leader.ledger is not None and leader.ledger.next_try() & ((1 << C.TRY_BITS) - 1) < 5
 
     story(tell)
+
+
+def test_room_is_kept_ready_for_one_more_group_where_money_counts_but_not_for_ever() -> None:
+    """Found on a measured day: arrays filled every gap, and groups that should start within seconds waited for 20."""
+    from sorrelsill.fleet import Catalog, Flavour
+    from sorrelsill.jobs import ShardSet, parse_spec
+    from sorrelsill.placement import Placer
+    from sorrelsill.settings import Objective
+    from sorrelsill.workers import Ledger
+
+    kind = Flavour("c8", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 5.0, ("a", "b"))
+    ledger = Ledger(1, 0.0, Catalog({"c8": kind}), 11.0, 3.0)
+    for number in range(4):
+        host = ledger.host(f"m-{number}", "c8", "ab"[number % 2], False, 0.0)
+        host.synced = host.hears = host.rostered = True
+        ledger.look(host)
+    aims = [Objective("wait", "ceremony", 8.0), Objective("deadline", "w", times=1.0)]
+    placer = Placer([Team("red")], aims, random.Random(1), C.SAMPLE)
+    first = ledger.add_job(parse_spec(group("run-g", workload="ceremony", shards=4)), ShardSet(4), 2, False, 0.0, [])
+    placer.round(ledger, 0.0, lambda: 0.0, 1.0)
+    assert len(first.bound) == 4 and len({a.host.zone for a in first.bound.values()}) == 1
+    array = ledger.add_job(parse_spec(job("run-a", shards=40)), ShardSet(40), 3, False, 0.0, [])
+    placer.round(ledger, 1.0, lambda: 0.0, 1.0)
+    assert len(array.bound) == 8, "24 CPUs were free; 8 are kept in one zone"
+    second = ledger.add_job(parse_spec(group("run-h", workload="ceremony", shards=4)), ShardSet(4), 4, False, 1.0, [])
+    placer.round(ledger, 2.0, lambda: 0.0, 1.0)
+    assert len(second.bound) == 4
+    for attempt in list(second.bound.values()):
+        ledger.take_back(attempt, 3.0)
+    ledger.end_job("run-h")
+    late = ledger.add_job(parse_spec(job("run-b", shards=4)), ShardSet(4), 5, False, 3.0, [])
+    placer.round(ledger, 4.0, lambda: 0.0, 1.0)
+    assert not late.bound
+    placer.round(ledger, 5.0 + C.AGED_S, lambda: 0.0, 1.0)
+    assert late.bound, "what waited too long may take it"
--- a/sorrelsill/test_settings.py
+++ b/sorrelsill/test_settings.py
@@ -102,3 +102,17 @@
     finished = 'kind = "finished"\nclass = "array"\nwithin_s = 250.0'
     assert not hurried(deadline) and not hurried(deadline, finished)
     assert hurried(finished) and hurried(deadline, finished, 'kind = "guarantee"\nwithin_s = 10.0')
+
+
+def test_limits_to_come_are_read_and_checked(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD)
+    state = load(str(path)).facts.state
+    assert state.next is None and state.coming.txn_ops == state.txn_ops
+    path.write_text(GOOD + "[facts.state.next]\nvalue_kb = 0.5\ntxn_ops = 5\nnew_field = 1\n")
+    coming = load(str(path)).facts.state.coming
+    assert (coming.value_kb, coming.txn_ops, coming.write_rps) == (0.5, 5, state.write_rps)
+    for bad in ("txn_ops = 1", "value_kb = -1.0", 'write_rps = "many"'):
+        path.write_text(GOOD + f"[facts.state.next]\n{bad}\n")
+        with pytest.raises(SettingsError, match=bad.split()[0]):
+            load(str(path))
