Further roster keys only once the store refuses longer values; two entries count once

Found by reading the production version: it counts a machine in two roster keys twice and hears it once, so jobs older than its term would wait as long as it leads.

--- a/sorrelsill/jobs/recorder.py
+++ b/sorrelsill/jobs/recorder.py
@@ -159,7 +159,9 @@
             parts = self._view.roster_parts(one)
             entries = {n: {"f": h.flavour, "a": h.addr, "z": h.zone, "s": h.spot} for n, h in hosts.items()}
             values = {key: value for key, (value, _) in parts.items()}
-            write = next_write(base, values, entries, ledger.gone, self._store.small_bytes)
+            # Further keys only once the store refuses longer values: a leader of the former version that finds a
+            # machine in two of them never takes it for heard.
+            write = next_write(base, values, entries, ledger.gone, self._store.value_bytes)
             if write is None:
                 # Without an entry a machine gets no work: that must not go unseen.
                 log.error("roster part %s: entries of %d machines fit no value", base, len(hosts))
--- a/sorrelsill/stories/test_limits.py
+++ b/sorrelsill/stories/test_limits.py
@@ -281,6 +281,7 @@
             world.store.kv[key] = (full, world.store.rev, None)
             world.store.log.append((world.store.rev, key, full, True))
         narrow(world)
+        world.may_refuse = 3  # each process learns of the limits by one refusal
         await world.submit(job("run-a", shards=12))
         await world.until_phase("run-a", "done", 60)
         world.kill(await world.until_leader())
@@ -330,3 +331,22 @@
         await world.until_phase("run-a", "done", 200)
 
     story(tell, coming=COMING)
+
+
+def test_a_machine_in_two_parts_of_the_roster_is_heard_once() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(job("run-s", shape="standing", shards=2, rank="prod", expectedRunS=0.0))
+        await world.until(lambda: len(world.running("run-s")) == 2)
+        for key, (value, _, _) in list(world.store.kv.items()):
+            if key.startswith("s/m/") and value:
+                world.store.rev += 1
+                world.store.kv[f"{key}.1"] = (value, world.store.rev, None)
+                world.store.log.append((world.store.rev, f"{key}.1", value, True))
+        await world.submit(job("run-a", shards=40, expectedRunS=3.0))
+        await trio.sleep(2)
+        world.kill(await world.until_leader())
+        await world.until_phase("run-a", "done", 60)
+        world.kill_machine(world.running("run-s")[0][1])
+        await world.until(lambda: len(world.running("run-s")) == 2, 40)
+
+    story(tell)
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -532,6 +532,10 @@
             sort = (
                 flavour if isinstance(flavour, str) else "", zone if isinstance(zone, str) else None, spot is True
             )  # fmt: skip
+            if name in self.unheard:
+                # It stands in two parts of the roster. Found by reading: counted twice and heard once, it would have
+                # held back every older job that it may hold for the whole term.
+                self._heard(name)
             self.unheard[name] = sort
             self.unheard_sorts[sort] = self.unheard_sorts.get(sort, 0) + 1
             self.unheard_addr[name] = str(known.get("a", ""))
