--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -345,7 +345,7 @@
         if len(self._held) >= C.GROUP_HOLD_SHARE * len(hosts):
             return
         may = [h for h in hosts if h.allows(spec) and self._open_to(job, h, now) and h.name not in self._held]
-        for host in groups.worth_holding(spec, seatings, may)[1]:
+        for host in groups.worth_holding(spec, seatings, may):
             self._held[host.name] = (spec.uid, spec.rank, now + C.GROUP_HOLD_S)
 
     def _open_to(self, job: Job, host: Host, now: float) -> bool:
--- a/sorrelsill/placement/groups.py
+++ b/sorrelsill/placement/groups.py
@@ -36,13 +36,14 @@
     cold: bool  # an image has to be fetched
 
 
-def capacity(host: Host, spec: Spec) -> int:
-    """Tasks that fit on a machine as it stands."""
+def capacity(host: Host, spec: Spec, gone: Iterable[Attempt] = ()) -> int:
+    """Tasks that fit on a machine, as it stands or once some others are gone."""
+    freed = [a.spec for a in gone if a.spec is not None]
     fits = [float(spec.shards)]
     for have, want in (
-        (host.cap_cpus - host.cpus, spec.cpus),
-        (host.cap_memory - host.memory, spec.memory),
-        (host.cap_gpus - host.gpus, spec.gpus),
+        (host.cap_cpus - host.cpus + sum(s.cpus for s in freed), spec.cpus),
+        (host.cap_memory - host.memory + sum(s.memory for s in freed), spec.memory),
+        (host.cap_gpus - host.gpus + sum(s.gpus for s in freed), spec.gpus),
     ):
         if want > 0:
             fits.append((have + 1e-6) / want)
@@ -125,31 +126,17 @@
     return (best[1], best[2]) if best is not None else None
 
 
-def capacity_after(host: Host, spec: Spec, victims: list[Attempt]) -> int:
-    """Tasks that fit once some others are gone."""
-    fits = [float(spec.shards)]
-    freed = [v.spec for v in victims if v.spec is not None]
-    for have, want in (
-        (host.cap_cpus - host.cpus + sum(s.cpus for s in freed), spec.cpus),
-        (host.cap_memory - host.memory + sum(s.memory for s in freed), spec.memory),
-        (host.cap_gpus - host.gpus + sum(s.gpus for s in freed), spec.gpus),
-    ):
-        if want > 0:
-            fits.append((have + 1e-6) / want)
-    return max(0, math.floor(min(fits)))
-
-
-def worth_holding(spec: Spec, seatings: list[Seating], hosts: Iterable[Host]) -> tuple[str | None, list[Host]]:
+def worth_holding(spec: Spec, seatings: list[Seating], hosts: Iterable[Host]) -> list[Host]:
     """Machines to keep filling up for a group that finds no room: in the zone that lacks least, those with most room
     that is not a service's, until all would fit. None are kept if even all of them would not do."""
     by_zone: dict[str | None, list[tuple[int, float, Host]]] = {}
     for host in hosts:
-        lasting = [a for a in host.attempts.values() if a.spec is not None and a.spec.endless]
-        others = [a for a in host.attempts.values() if a.spec is not None and not a.spec.endless]
-        count = capacity_after(host, spec, others)
+        tasks = [a for a in host.attempts.values() if a.spec is not None]
+        ending = [a for a in tasks if a.spec is not None and not a.spec.endless]
+        count = capacity(host, spec, ending)
         if count > 0:
-            free = host.cap_cpus - host.cpus
-            by_zone.setdefault(host.zone if spec.one_zone else None, []).append((count, free - len(lasting), host))
+            ease = host.cap_cpus - host.cpus - (len(tasks) - len(ending))
+            by_zone.setdefault(host.zone if spec.one_zone else None, []).append((count, ease, host))
     for seating in seatings:
         kept: list[Host] = []
         left = spec.shards
@@ -159,5 +146,5 @@
             if left <= 0 or len(kept) == C.GROUP_HOLD_HOSTS:
                 break
         if left <= 0:
-            return seating.zone, kept
-    return None, []
+            return kept
+    return []
--- a/sorrelsill/standins/production.py
+++ b/sorrelsill/standins/production.py
@@ -43,7 +43,9 @@
     place = _ROOT / "target" / "production"
     if not (place / name).is_dir():
         raw = subprocess.run(
-            ["git", "-C", str(_ROOT), "archive", commit(), "sorrelsill"], check=True, capture_output=True
+            ["git", "-c", "safe.directory=*", "-C", str(_ROOT), "archive", commit(), "sorrelsill"],
+            check=True,
+            capture_output=True,
         ).stdout
         place.mkdir(parents=True, exist_ok=True)
         made = Path(tempfile.mkdtemp(dir=place))
