A lease is renewed only while all cancellations are certain to be known here

Cause: in a standstill the old leader answered reports with what its own view knew. Refused alone it had followed nothing since; what another controller confirmed meanwhile lived on with each renewal, and the outage kept it from learning of it.

Change: one rule in jobs/cancellations.py, asked before every answer that renews a lease (leading, standstill, blind process). Certain is what our view was proved fresh for, and beyond that what all peers name with their answers to /promise. A peer of the former version, a process that began in between, a damaged list and one that would be cut move nothing. Also: a removal that the view has not gone past yet is remembered (a job cancelled here could come back with a watch answer that was under way), the ledger takes in no job known to be over, a report overtaken by a direct answer is answered with halts, and cancellations are remembered by time rather than by the size of a cache.

Ruled out: asking only our own view would be safe too, but ends every outage longer than cancel_s less lease and margin.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -158,6 +158,9 @@
 PROMISE_EVERY_S: Final = 0.6  # s; and is renewed this often
 PROMISE_AFTER_S: Final = 1.0  # s; without the store for this long a node asks for promises
 PROMISE_MARGIN_S: Final = 0.2  # s; the holder counts a promise as shorter by this, for drift and late timers
-BLIND_MARGIN_S: Final = 6.0  # s; a fresh process renews leases without a job view for `cancel_s` less the
-#                              workers' lease and this, which covers its own restart
+RENEW_MARGIN_S: Final = 2.0  # s; of `cancel_s` less the workers' lease, kept back when leases are renewed: drift over
+#                              both, an answer's way, a worker's own round of looking at its lease
+CANCEL_SLACK_S: Final = 0.5  # s; on top wherever a cancelled task's time is taken as over, for drift and rounding
+CANCELLED_KEPT: Final = 2.0  # ratio; of `cancel_s`, how long a cancellation is remembered: its tasks are gone after one
+CANCELLED_NAMED: Final = 2000  # jobs; named to a peer in one answer, some 30 of a body's 64 KB; with more, none is
 PEER_TIMEOUT_S: Final = 0.6  # s; for an answer of a peer
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -16,7 +16,7 @@
 from sorrelsill import constants as C
 from sorrelsill.fleet import Catalog, Cloud, FleetManager, parse_catalog
 from sorrelsill.http import Client, Reply, Request
-from sorrelsill.jobs import Admission, BadJob, Busy, Recorder, json_size, parse_record
+from sorrelsill.jobs import Admission, BadJob, Busy, Cancellations, Recorder, json_size, parse_record
 from sorrelsill.leadership import Elector, Watchdog
 from sorrelsill.peers import Standstill
 from sorrelsill.placement import Placer
@@ -34,6 +34,10 @@
 _JOB = "s/j/"
 
 
+def _cancelled(final: Any) -> bool:
+    return isinstance(final, dict) and final.get("p") == "cancelled"
+
+
 class Node:
     def __init__(
         self, settings: Settings, operator: Operator, rng: random.Random,
@@ -48,14 +52,13 @@
         self.elector = Elector(self.store, self.view, self.timings, settings.label, self.watchdog, rng)
         self.elector.acquire_after = trio.current_time() + (C.PROMISE_S if settings.members else 0.0)
         self._time_of_day = time_of_day
-        # A fresh process knows of no cancellation: it renews leases blindly only as long as a task that was
-        # cancelled before it started still goes in time, by its lease, once it stops.
-        workers = facts.workers
-        blind_s = max(0.0, workers.cancel_s - workers.lease_s - C.BLIND_MARGIN_S)
-        self._blind_until = trio.current_time() + blind_s
+        self.cancellations = Cancellations(
+            trio.current_time(), facts.workers.cancel_s, self.timings.renew_s, len(settings.members)
+        )
+        self.view.on_final = self._on_final
         self.admission = Admission(self.store, self.view, facts.teams, time_of_day)
         self.cloud = Cloud(make_client(settings.services.cloud), facts.cloud)
-        self.standstill = Standstill(self.store, self.elector, settings.members, make_client)
+        self.standstill = Standstill(self.store, self.elector, settings.members, make_client, self.cancellations)
         self.placer = Placer(facts.teams, facts.objectives, rng, operator.sample or C.SAMPLE, settings.hurried)
         self.tick_s = operator.tick_s or C.TICK_S
         self.ledger: Ledger | None = None
@@ -73,6 +76,7 @@
         self.elector.on_term = self._on_term
         self.elector.deaf = self._deaf
         self.standstill.on_bound = self._on_bound
+        self.standstill.on_cancelled = self._on_cancelled
         self.view.listeners.append(self._on_key)
 
     # --- leadership changes, and what the view tells ---
@@ -93,7 +97,8 @@
         self.ledger = ledger
         whole = True
         for uid, value, rev in self.view.jobs():
-            whole &= self._add_job(ledger, uid, value, rev)
+            if not self._over(uid):
+                whole &= self._add_job(ledger, uid, value, rev)
         # With a damaged record among them, what its tasks use can't be told.
         ledger.expect_over(self._lately_over() if whole else None)
         self.recorder = Recorder(self.store, self.view, ledger, self.elector.valid)
@@ -133,6 +138,20 @@
         if self.ledger is not None:
             self.ledger.renewed_by_others = max(self.ledger.renewed_by_others, until)
 
+    def _on_final(self, uid: str, value: Any) -> None:
+        if _cancelled(value):
+            self.cancellations.learn(uid, trio.current_time())
+
+    def _on_cancelled(self, uids: list[str]) -> None:
+        """A peer told us: they are over, as committed, though our view doesn't show it yet."""
+        for uid in uids:
+            if self.ledger is not None:
+                self.ledger.end_job(uid)
+
+    def _over(self, uid: str) -> bool:
+        """Whether the job is known to be over, whatever an older record says."""
+        return self.view.final(uid) is not None or self.cancellations.known(uid)
+
     def _on_key(self, key: str, value: Any, rev: int) -> None:
         if key == CATALOG and value is not None:
             try:
@@ -151,7 +170,7 @@
                 self._wake.set()
         elif job is not None:
             job.rev = max(job.rev, rev)
-        else:
+        elif not self._over(uid):
             self._add_job(ledger, uid, value, rev)
             self._wake.set()
 
@@ -260,36 +279,48 @@
         self._count("reports")
         log.debug("report: %s", report)
         ledger = self.ledger
-        if ledger is not None and (self.elector.valid() or self.standstill.active()):
-            acting = self.elector.valid()
-            now = trio.current_time()
-            try:
-                orders = ledger.on_report(report, now, acting, self._fresh())
-            except Superseded as error:
-                self.elector.superseded(error.token)
-                return Reply(421, _encode({}))
-            if orders is None:
+        now = trio.current_time()
+        acting = ledger is not None and self.elector.valid()
+        if acting or self.standstill.active():
+            if not self._may_renew(now):
+                # What was cancelled meanwhile is not certain to be known here: the next controller may know.
+                self._count("not_renewed")
                 return Reply(503)
-            self._news()
-            if not acting:
-                return Reply(200, _encode({"epoch": report.epoch, "orders": self._halts(report)}))
+            orders: list[dict[str, Any]] | None = []
+            if ledger is not None:
+                try:
+                    orders = ledger.on_report(report, now, acting, self._fresh())
+                except Superseded as error:
+                    self.elector.superseded(error.token)
+                    return Reply(421, _encode({}))
+                if orders is None:
+                    return Reply(503)
+                self._news()
+            if ledger is None or not acting:
+                # Nobody leads and nobody can: the worker's own token; its lease goes on and nothing else does.
+                return Reply(200, _encode({"epoch": report.epoch, "orders": self._halts(report, now)}))
             # Only a report that is newer than all before makes the connection the machine's own: not a late copy.
             return Reply(200, _encode({"epoch": ledger.term, "orders": orders}), owner=report.host)
-        if self.standstill.active() and (self.view.loaded or trio.current_time() < self._blind_until):
-            # Nobody leads and nobody can: the worker's own token; its lease goes on and nothing else does.
-            return Reply(200, _encode({"epoch": report.epoch, "orders": self._halts(report)}))
         label = self.elector.leader_label()
         if label in self._labels:
             return Reply(421, _encode({"upstream": label}))
         return Reply(421, _encode({}))
 
-    def _halts(self, report: Report) -> list[dict[str, Any]]:
+    def _may_renew(self, now: float) -> bool:
+        """The one rule for every answer that renews a worker's lease (`jobs/cancellations.py`)."""
+        self.cancellations.followed(self.view.followed_since, self.view.fresh_at)
+        return self.cancellations.may_renew(now)
+
+    def _halts(self, report: Report, now: float) -> list[dict[str, Any]]:
         """In a standstill: tasks of jobs known to be cancelled still have to go. Halting them is always right,
-        whoever leads next, and a worker takes it from any controller that names its token."""
+        whoever leads next, and a worker takes it from any controller that names its token. A view that was read anew
+        not long ago lacks what was cancelled before, so what is not live in it is halted as well."""
+        unknown = self.view.fresh_at > float("-inf") and self.cancellations.suspect_unknown(now)
         out = []
         for item in report.shards:
-            final = self.view.final(item.split()[0])
-            if item.phase != "exited" and isinstance(final, dict) and final.get("p") == "cancelled":
+            uid = item.shard.rpartition("/")[0]
+            over = self.cancellations.known(uid) or _cancelled(self.view.final(uid))
+            if item.phase != "exited" and (over or unknown and self.view.job(uid) is None):
                 out.append(halt(item.shard, item.tryNo, 0.0))
         return out
 
--- a/sorrelsill/peers/standstill.py
+++ b/sorrelsill/peers/standstill.py
@@ -7,6 +7,9 @@
 renews leases and does nothing else. Nothing is started or declared lost meanwhile, and whoever leads
 next counts every silent worker's lease from the end of the promises it knows of.
 
+Leases are renewed only as far as all cancellations are certain to be known (`jobs/cancellations.py`), so controllers
+tell each other what they know with each promise.
+
 A fresh process may have promised before it died, so it waits one promise out before it acquires."""
 
 from __future__ import annotations
@@ -19,6 +22,7 @@
 
 from sorrelsill import constants as C
 from sorrelsill.http import Client, NoAnswer, NotSent
+from sorrelsill.jobs import Cancellations
 from sorrelsill.leadership import Elector
 from sorrelsill.settings import Member
 from sorrelsill.store import Store
@@ -27,13 +31,18 @@
 
 
 class Standstill:
-    def __init__(self, store: Store, elector: Elector, members: list[Member], client: Callable[[str], Client]) -> None:
+    def __init__(
+        self, store: Store, elector: Elector, members: list[Member], client: Callable[[str], Client],
+        cancellations: Cancellations,
+    ) -> None:  # fmt: skip
         self._store = store
+        self._cancellations = cancellations
         self._elector = elector
         self._clients = [client(m.addr) for m in members]
         self._held: dict[int, float] = {}  # peer -> until when its promise holds for us
         self._failing_peers: dict[int, float] = {}  # peer -> when it last said that it lacks the store too
         self.on_bound: Callable[[float], None] = lambda until: None
+        self.on_cancelled: Callable[[list[str]], None] = lambda uids: None
 
     def active(self) -> bool:
         """Whether leases may be renewed right now: every member, ourselves included, is bound."""
@@ -59,17 +68,19 @@
         return until
 
     def answer(self, body: bytes) -> bytes:
-        """A peer asks for a promise."""
+        """A peer asks for a promise, and what we know of cancellations. It is told those whether it gets one or not."""
         try:
             asked = orjson.loads(body)
         except orjson.JSONDecodeError:
             asked = None
-        if not isinstance(asked, dict) or not asked.get("promise"):
-            return orjson.dumps({"promised": False, "failing": self._failing()})
-        if not self._failing() or self._elector.acquiring:
-            return orjson.dumps({"promised": False, "failing": self._failing()})
-        self._bind()
-        return orjson.dumps({"promised": True, "failing": True})
+        if not isinstance(asked, dict):
+            asked = {}
+        failing = self._failing()
+        promised = bool(asked.get("promise")) and failing and not self._elector.acquiring
+        if promised:
+            self._bind()
+        known = self._cancellations.tell(asked, trio.current_time())
+        return orjson.dumps({"promised": promised, "failing": failing, "known": known})
 
     async def run(self) -> None:
         while True:
@@ -85,13 +96,19 @@
     async def _ask(self, number: int, client: Client) -> None:
         sent_at = trio.current_time()
         try:
-            status, raw = await client.request("POST", "/promise", orjson.dumps({"promise": True}), C.PEER_TIMEOUT_S)
+            body = orjson.dumps({"promise": True, **self._cancellations.ask(sent_at)})
+            status, raw = await client.request("POST", "/promise", body, C.PEER_TIMEOUT_S)
             answer = orjson.loads(raw) if status == 200 else {}
         except (NotSent, NoAnswer, orjson.JSONDecodeError) as error:
             log.debug("promise of %s: %s", client.addr, error)
             return
         if not isinstance(answer, dict):
             return
+        # Before its promise counts: what is renewed on it rests on what the peer knows.
+        new = self._cancellations.take(number, answer.get("known"), sent_at, trio.current_time())
+        if new:
+            log.info("a peer knows of %d cancellations that we did not", len(new))
+            self.on_cancelled(new)
         if answer.get("failing"):
             self._failing_peers[number] = trio.current_time()
         if answer.get("promised"):
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -134,6 +134,7 @@
     stall_s: float
     self_release_s: float
     overdue_s: float
+    renew_s: float  # how old the certainty of knowing all cancellations may be when a worker's lease is renewed
 
     @classmethod
     def derive(cls, workers: Workers, operator: Operator) -> Timings:
@@ -146,6 +147,11 @@
             stall_s=operator.stall_limit_s or C.STALL_LIMIT_S,
             self_release_s=operator.self_release_s or C.SELF_RELEASE_S,
             overdue_s=workers.report_s * C.OVERDUE_OF_REPORT + C.OVERDUE_EXTRA_S,
+            # Where `cancel_s` leaves less than this besides the lease, leases alone can't keep the rule, and an
+            # ordinary leader must still be able to renew them.
+            renew_s=max(
+                C.VIEW_STALE_S, workers.cancel_s - workers.lease_s * (1 + 2 * C.CLOCK_DRIFT) - C.RENEW_MARGIN_S
+            ),
         )
 
 
--- a/sorrelsill/standins/network.py
+++ b/sorrelsill/standins/network.py
@@ -30,6 +30,7 @@
         self.latency = latency
         self.handlers: dict[str, Handler] = {}
         self.down: set[str] = set()
+        self.refused: set[tuple[str, str]] = set()  # from, to: connections that are refused at once
         self._cuts: set[tuple[str, str]] = set()
         self._held: list[_Held] = []
         self.drop_answers: Callable[[str, str, Request], bool] = lambda src, dst, request: False
@@ -70,7 +71,7 @@
             pass
 
     async def send(self, src: str, dst: str, request: Request, timeout: float) -> Reply:
-        if dst in self.down or dst not in self.handlers:
+        if dst in self.down or dst not in self.handlers or (src, dst) in self.refused:
             await trio.sleep(self.latency)
             raise NotSent(f"{dst} refuses")
         sender, receiver = trio.open_memory_channel[Reply](1)
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -63,6 +63,7 @@
         self.finals: OrderedDict[str, Any] = OrderedDict()
         self.ended: OrderedDict[str, tuple[float, Any]] = OrderedDict()  # jobs lately over: when seen, last live record
         self.whole_since = float("inf")  # no end since then can have been missed
+        self.followed_since = float("inf")  # every change since then was followed, final states included
         self._chunk_keys: dict[
             str, set[str]
         ] = {}  # job -> its parts, so that a takeover doesn't walk all keys for each
@@ -70,6 +71,8 @@
         self.loaded = False
         self.fresh_at = float("-inf")  # the view holds everything committed before this moment
         self.listeners: list[Listener] = []
+        self.on_final: Callable[[str, Any], None] = lambda uid, value: None  # each final state as it is learnt of
+        self._removed: dict[str, int] = {}  # keys that are gone by changes that the view has not gone past yet
         self._barrier_gap = 1.0 / max(1.0, C.BARRIER_RATE_OF_RPS * store.requests.rate * 3)
         self._last_barrier = float("-inf")
         self._waiting: list[trio.Event] = []
@@ -122,6 +125,7 @@
 
     def remember_final(self, uid: str, value: Any) -> None:
         self.finals[uid] = value
+        self.on_final(uid, value)
         while len(self.finals) > C.FINAL_CACHE:
             self.finals.popitem(last=False)
 
@@ -136,8 +140,12 @@
                 self.remember_final(key[len(_FINAL) :], value)
             return
         known = self.keys.get(key)
-        if rev <= self.rev or known is not None and known[1] >= rev:
+        if rev <= self.rev or known is not None and known[1] >= rev or self._removed.get(key, -1) >= rev:
             return
+        if not present:
+            # Found by reading: a job cancelled here before the watch told of it came back with a watch answer that was
+            # on its way, since nothing said that it had been removed after that.
+            self._removed[key] = rev
         if present:
             self.keys[key] = (value, rev)
             if key.startswith((_CHUNK, _PART)):
@@ -183,9 +191,10 @@
             self.apply(key, value, rev, True)
         for key in [k for k, (_, r) in self.keys.items() if k not in fresh and r <= since]:
             self._drop(key, since)
-        self.rev = since
+        self._gone_past(since)
         self.fresh_at = max(self.fresh_at, sent_at)
         self.whole_since = trio.current_time()  # jobs that came and went between two readings were never seen
+        self.followed_since = self.whole_since
         self.loaded = True
 
     def _drop(self, key: str, rev: int) -> None:
@@ -200,9 +209,15 @@
                 self.apply(change["set"], change.get("value"), change["keyRev"], True)
             elif "remove" in change:
                 self.apply(change["remove"], None, change["keyRev"], False)
-        self.rev = max(self.rev, rev)
+        self._gone_past(max(self.rev, rev))
         self.fresh_at = max(self.fresh_at, sent_at)
 
+    def _gone_past(self, rev: int) -> None:
+        """From now on a change at or before `rev` has no effect, so removals up to it need not be remembered."""
+        self.rev = rev
+        if self._removed:
+            self._removed = {k: r for k, r in self._removed.items() if r > rev}
+
     async def run(self) -> None:
         """Follow for ever; whatever fails is tried again after a pause."""
         last = float("-inf")
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -732,7 +732,8 @@
             if not host.synced:
                 return None
             host.answered_at = self.heard_at = now
-            return []
+            # No starts, but halts: an answer that renews a lease always names what has to go.
+            return self.orders(host, False, now) if acting else []
         known = host.serial >= 0
         self._newer(host, report, now)
         if not host.synced:
