Answers are looked at once more before they go out; damaged records can be cancelled

Found by reading: a submission's answer waited for the rest of its batch, so another controller could tell something newer first; a 404 could follow a job that was accepted during the read; a record that can't be parsed could neither be cancelled nor polled for, and a damaged time in it made every follower read all keys anew, again and again. A job that was cancelled before the watch told of it counts toward its team's limit at the next leader.

--- a/sorrelsill/jobs/admission.py
+++ b/sorrelsill/jobs/admission.py
@@ -47,9 +47,20 @@
     done: trio.Event = field(default_factory=trio.Event)
     answer: Answer | None = None
 
+    def tell(self, answer: Answer) -> None:
+        """At once: what the rest of its batch still waits for would make the answer older than need be."""
+        self.answer = answer
+        self.done.set()
 
-def _state(uid: str, value: dict[str, Any]) -> dict[str, Any]:
-    done, running = int(value.get("n") or 0), int(value.get("r") or 0)
+
+def _count(value: Any, name: str) -> int:
+    """A count of a record; a damaged one must not keep its job's users without an answer."""
+    found = value.get(name) if isinstance(value, dict) else None
+    return found if isinstance(found, int) else 0
+
+
+def _state(uid: str, value: Any) -> dict[str, Any]:
+    done, running = _count(value, "n"), _count(value, "r")
     return {"uid": uid, "phase": "running" if running else "pending", "done": done, "running": running}
 
 
@@ -83,7 +94,9 @@
             await waiting.done.wait()
         if waiting.answer is None:
             raise Busy("the state service did not take the job in time")
-        return waiting.answer
+        # Other controllers may have told more since the read or write that the answer rests on.
+        known = self._known(spec.uid)
+        return (200, known) if known is not None else waiting.answer
 
     def _known(self, uid: str) -> dict[str, Any] | None:
         """What is known of a job without asking; enough to say that it was accepted."""
@@ -160,7 +173,7 @@
                 for uid, group in todo.items():
                     self._view.apply(job_key(uid), records[uid], txn.rev, True)
                     for waiting in group:
-                        waiting.answer = 201, {"uid": uid, "phase": "pending"}
+                        waiting.tell((201, {"uid": uid, "phase": "pending"}))
                 return
             for key in txn.failed:
                 uid = key.rsplit("/", 1)[-1]
@@ -174,9 +187,9 @@
         """The job's state by direct reads, or None if it was never accepted at the first read."""
         for key in (job_key(uid), final_key(uid)):
             found = await self._store.get(key)
-            if found is not None and isinstance(found[0], dict):
+            if found is not None:
                 value = found[0]
-                if "p" in value:
+                if isinstance(value, dict) and "p" in value:
                     self._view.remember_final(uid, value)
                     return {"uid": uid, "phase": value["p"], "done": value.get("n", 0), "running": 0}
                 return _state(uid, value)
@@ -188,7 +201,7 @@
         except (Unavailable, Ambiguous):
             return False
         for waiting in group if state is not None else []:
-            waiting.answer = 200, state or {}
+            waiting.tell((200, state or {}))
         return state is not None
 
     async def _judge(self, uid: str, group: list[_Waiting]) -> None:
@@ -198,15 +211,15 @@
             return
         for waiting in group:
             if state is not None:
-                waiting.answer = 200, state
+                waiting.tell((200, state))
             elif self._too_long(waiting.spec):
-                waiting.answer = 400, {"error": "body: longer than the state service can keep"}
+                waiting.tell((400, {"error": "body: longer than the state service can keep"}))
             elif self.catalog is not None:
                 # The catalog may have come during the look-up: then the job may well be possible, and is
                 # sent back to be asked again rather than refused for good.
                 reason = impossible(waiting.spec, self._teams, self.catalog)
                 if reason is not None:
-                    waiting.answer = 422, {"error": reason}
+                    waiting.tell((422, {"error": reason}))
 
     # --- polls ---
 
@@ -232,10 +245,14 @@
                 found = await self._store.get(final_key(uid))
             except (Unavailable, Ambiguous) as error:
                 raise Busy(str(error)) from None
-            if found is None:
-                return 404, {"error": "no such job"}
-            self._view.remember_final(uid, found[0])
-            return 200, {"uid": uid, "phase": found[0]["p"], "done": found[0].get("n", 0), "running": 0}
+            if found is not None:
+                self._view.remember_final(uid, found[0])
+                return 200, self._known(uid) or {}
+            # Accepted during the read: another controller may have told so by now.
+            live = self._view.job(uid)
+            if live is not None:
+                return 200, _state(uid, live[0])
+            return 404, {"error": "no such job"}
         raise Busy("the state service is slow")
 
     # --- for operators and teams ---
@@ -274,6 +291,20 @@
             raise Busy(str(error)) from None
         raise Busy("the state service is slow")
 
+    def _end_of(self, uid: str, value: Any) -> dict[str, Any]:
+        """The final record of a job that its user cancels now."""
+        count = _count(value, "n")
+        try:
+            spec, done, why = parse_record(value, [])
+        except (BadJob, ValueError, TypeError) as error:
+            # Guards against a damaged record that could never be cancelled: whoever leads can't read it either.
+            log.error("cancelling %s, whose record is damaged: %s", uid, error)
+            return {"p": "cancelled", "n": count, "o": None}
+        if done.size == count and not spec.endless:
+            # Every task is done and recorded; only the move to the final key is missing.
+            return final_record("done", spec, count, why, self._store.small_bytes)
+        return final_record("cancelled", spec, count, [*why, "cancelled by its user"], self._store.small_bytes)
+
     async def _cancel(self, uid: str) -> Answer:
         while True:
             final = self._view.final(uid)
@@ -291,13 +322,7 @@
                     return 404, {"error": "no such job"}
                 continue
             value, rev = live
-            spec, done, why = parse_record(value, [])
-            if done.size == int(value.get("n") or 0):
-                # Every task is done and recorded; only the move to the final key is missing.
-                record = final_record("done", spec, done.size, why, self._store.small_bytes)
-            else:
-                why = [*why, "cancelled by its user"]
-                record = final_record("cancelled", spec, int(value.get("n") or 0), why, self._store.small_bytes)
+            record = self._end_of(uid, value)
             chunks = [Remove(key) for key in self._view.chunk_keys(uid)]
             writes: list[Put | Remove] = [Remove(job_key(uid)), Put(final_key(uid), record)]
             room = max(0, self._store.txn_ops - 2)
--- a/sorrelsill/node.py
+++ b/sorrelsill/node.py
@@ -139,6 +139,8 @@
             self.ledger.renewed_by_others = max(self.ledger.renewed_by_others, until)
 
     def _on_final(self, uid: str, value: Any) -> None:
+        if self.ledger is not None:
+            self.ledger.end_job(uid)  # its record may be followed later than its final state
         if _cancelled(value):
             self.cancellations.learn(uid, trio.current_time())
 
@@ -189,12 +191,12 @@
     def _add_job(self, ledger: Ledger, uid: str, value: Any, rev: int) -> bool:
         try:
             spec, done, why = parse_record(value, self.view.chunks(uid))
+            accepted = float(value.get("t") or 0.0)
         except (BadJob, ValueError, TypeError) as error:
             # Guards against one damaged record stopping all the others.
             log.error("record of %s: %s", uid, error)
             return False
         now = trio.current_time()
-        accepted = float(value.get("t") or 0.0)
         age = max(0.0, self._time_of_day() - accepted)
         job = ledger.add_job(spec, done, rev, rev <= ledger.term, now - age, why, accepted)
         # What the record says already need not be written again: after a takeover that would be one write a job.
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -140,7 +140,12 @@
                 self.remember_final(key[len(_FINAL) :], value)
             return
         known = self.keys.get(key)
-        if rev <= self.rev or known is not None and known[1] >= rev or self._removed.get(key, -1) >= rev:
+        if rev <= self.rev or known is not None and known[1] >= rev:
+            return
+        if self._removed.get(key, -1) >= rev:
+            # A job that was cancelled here before the watch told of it. Its tasks may run on for a while all the same.
+            if present and key.startswith(_JOB) and key[len(_JOB) :] not in self.ended:
+                self._note_over(key[len(_JOB) :], value)
             return
         if not present:
             # Found by reading: a job cancelled here before the watch told of it came back with a watch answer that was
@@ -165,7 +170,10 @@
                 del self._chunk_keys[uid]
         if not key.startswith(_JOB):
             return
-        self.ended[key[len(_JOB) :]] = trio.current_time(), value
+        self._note_over(key[len(_JOB) :], value)
+
+    def _note_over(self, uid: str, value: Any) -> None:
+        self.ended[uid] = trio.current_time(), value
         if len(self.ended) > C.ENDED_KEPT:
             self.ended.popitem(last=False)
             self.whole_since = trio.current_time()
--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -100,7 +100,7 @@
     fetching: set[str] = field(default_factory=set)  # images that tasks on it wait for
     idle_since: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
-    seen_at: float = float("-inf")
+    seen_at: float = float("-inf")  # when it last told of itself; after its first report in this term, by reports only
     overdue: bool = False  # its report is late, so it may hang or be cut off: no new work before the next one
 
     def room_for(self, spec: Spec) -> bool:
