--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -100,7 +100,8 @@
     fetching: set[str] = field(default_factory=set)  # images that tasks on it wait for
     idle_since: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
-    seen_at: float = float("-inf")  # when it last told of itself; after its first report in this term, by reports only
+    reports: bool = False  # has sent a report in this term
+    seen_at: float = float("-inf")  # when it last reported; before its first report in this term, when it was first met
     overdue: bool = False  # its report is late, so it may hang or be cut off: no new work before the next one
 
     def room_for(self, spec: Spec) -> bool:
@@ -645,7 +646,10 @@
         older = max(floor, self.started + self.validity_s)
         released = 0
         for host in self.hosts.values():
-            if not host.overdue and now - host.seen_at > self.overdue_s:
+            # One that answers us and doesn't report has a lease that runs out again and again, and all work with it.
+            # After a takeover it has some time to find the way here. Found by reading.
+            patience = self.overdue_s if host.reports else max(self.overdue_s, self.mute_s)
+            if not host.overdue and now - host.seen_at > patience:
                 host.overdue = True
             self.look(host)
             if host.lost or host.answered_at is None:
@@ -727,6 +731,11 @@
         # message directly shows that answers reach it. With one that does not, work waits for the next that does.
         follows = report.tenure == host.tenure and report.serial == host.serial + 1
         host.hello_serial = report.serial
+        host.reports = True
+        host.seen_at = now
+        if host.overdue:
+            host.overdue = False
+            self.look(host)
         if stale:
             # Overtaken by an answer to a direct call, which told more. It is no copy, so its lease may go on.
             if not host.synced:
@@ -772,6 +781,8 @@
             host.serial = report.serial
             return
         self._newer(host, report, now)
+        if host.seen_at == float("-inf"):
+            host.seen_at = now
         if report.epoch == self.term:
             self._sync(host, report, True, now)
             host.hears = True
@@ -795,10 +806,6 @@
             host.lost = False
             host.hello_serial = -1
         host.serial = report.serial
-        host.seen_at = now
-        if host.overdue:
-            host.overdue = False
-            self.look(host)
         if report.evictInS is not None:
             host.evict_at = now + report.evictInS
             self.evicting[host.name] = host
