A session only heard of directly has a whole lease; a mute machine gets no work that dies with it

Cause: a machine that reaches no controller (mute) answers direct calls. Greeted by a new leader near the end of its session it got work in its next one, and was then declared lost a lease after the first answer; the work ran twice. The lease now counts from the first message of a session. And a machine that answers but does not report, or whose lease ran out while it answered, gets no new work until it reports.

--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -780,6 +780,9 @@
         if host.lost and report.tenure == host.tenure:
             host.serial = report.serial
             return
+        if host.tenure and report.tenure > host.tenure:
+            # Its lease ran out and yet it hears us: it does not reach us, so work on it would die with each lease.
+            host.overdue = True
         self._newer(host, report, now)
         if host.seen_at == float("-inf"):
             host.seen_at = now
@@ -803,6 +806,11 @@
             host.hears = False
             self.look(host)
             host.tenure = report.tenure
+            if host.answered_at is not None:
+                # A session has a whole lease from its beginning, which was before now, whether or not a report of it
+                # was ever answered. Found on a day of our own (ran_twice): a machine that reached nobody answered
+                # direct calls in its second session, and was taken for lost by the lease of its first.
+                host.answered_at = now
             host.lost = False
             host.hello_serial = -1
         host.serial = report.serial
--- a/sorrelsill/workers/test_ledger.py
+++ b/sorrelsill/workers/test_ledger.py
@@ -53,3 +53,49 @@
     assert report(ledger, 7, 9.0, epoch=3) is None
     assert not ledger.sweep(15.0) and ledger.unheard
     assert [h.name for h in ledger.sweep(17.0)] == ["m1"] and not ledger.unheard
+
+
+def answer(ledger: Ledger, serial: int, now: float, tenure: int = 1) -> None:
+    """Of a direct call."""
+    ledger.on_answer(Report("m1", tenure, serial, "c8", "a", "10.0.0.9:9000", False, 7), now)
+
+
+def greeted() -> tuple[Ledger, Host]:
+    """A machine of the roster that a new leader reached directly and that has not reported yet."""
+    ledger = Ledger(7, 0.0, Catalog({"c8": KIND}), 11.5, 2.7, overdue_s=2.25)
+    ledger.expect([("m1", {"f": "c8", "a": "10.0.0.9:9000"})])
+    answer(ledger, 1, 1.0)
+    return ledger, ledger.hosts["m1"]
+
+
+def test_a_session_that_was_only_heard_of_directly_has_a_whole_lease_of_its_own() -> None:
+    """Found on a day of our own (ran_twice): a machine that reached nobody was given work directly in its second
+    session, and taken for lost a lease after the first answer, which came out of its first."""
+    ledger, host = greeted()
+    answer(ledger, 9, 8.0, tenure=2)
+    assert not ledger.sweep(13.0) and not host.lost
+    assert ledger.sweep(20.0) == [host]
+
+
+def test_a_machine_that_answers_but_does_not_report_gets_no_work() -> None:
+    ledger, host = greeted()
+    ledger.sweep(3.0)
+    assert host.usable(), "after a takeover it may still be on its way here"
+    answer(ledger, 2, 7.0)
+    ledger.sweep(7.5)
+    assert not host.usable()
+    report(ledger, 3, 8.0)
+    ledger.sweep(8.1)
+    assert host.usable()
+
+
+def test_a_machine_whose_lease_ran_out_while_it_answered_gets_no_work() -> None:
+    ledger, host = greeted()
+    answer(ledger, 2, 3.0, tenure=2)
+    ledger.sweep(3.1)
+    assert not host.usable()
+    report(ledger, 3, 4.0, tenure=2)
+    report(ledger, 4, 5.0, tenure=2)
+    host.rostered = True
+    ledger.sweep(5.1)
+    assert host.usable()
