A deaf machine's lease still runs out: only sessions that may hold our work count anew

Only a machine that has shown our term, and so may hold work of ours, has its lease counted anew; one that shows it only now counts from now.

--- a/sorrelsill/workers/ledger.py
+++ b/sorrelsill/workers/ledger.py
@@ -806,7 +806,7 @@
             host.hears = False
             self.look(host)
             host.tenure = report.tenure
-            if host.answered_at is not None:
+            if host.synced:
                 # A session has a whole lease from its beginning, which was before now, whether or not a report of it
                 # was ever answered. Found on a day of our own (ran_twice): a machine that reached nobody answered
                 # direct calls in its second session, and was taken for lost by the lease of its first.
@@ -825,6 +825,7 @@
         host.synced = True
         host.first_at = None
         host.hears = hears
+        host.answered_at = now  # from now on it may be given work, and its session may have begun just now
         if hears:
             host.proved_at = now
         if host.rostered or host.name in self.unheard:
