--- a/sorrelsill/standins/network.py
+++ b/sorrelsill/standins/network.py
@@ -35,6 +35,9 @@
         self._held: list[_Held] = []
         self.drop_answers: Callable[[str, str, Request], bool] = lambda src, dst, request: False
         self.hold_request: Callable[[str, str, Request], bool] = lambda src, dst, request: False
+        # Seconds after which a request is delivered to nobody's use, or None: its sender never gets an answer.
+        self.late: Callable[[str, str, Request], float | None] = lambda src, dst, request: None
+        self.copy: Callable[[str, str, Request], None] = lambda src, dst, request: None  # sees all that is sent
 
     def cut(self, a: str, b: str, both: bool = True) -> None:
         self._cuts.add((a, b))
@@ -70,6 +73,18 @@
         except (trio.BrokenResourceError, trio.WouldBlock):
             pass
 
+    async def _deliver_late(self, item: _Held, delay: float) -> None:
+        await trio.sleep(delay)
+        handler = self.handlers.get(item.dst)
+        if handler is not None and item.dst not in self.down:
+            await handler(item.src, item.request)
+
+    async def deliver_copy(self, src: str, dst: str, request: Request) -> None:
+        """A late copy: whoever is there now takes it, and nobody waits for the answer."""
+        handler = self.handlers.get(dst)
+        if handler is not None and dst not in self.down:
+            await handler(src, request)
+
     async def send(self, src: str, dst: str, request: Request, timeout: float) -> Reply:
         if dst in self.down or dst not in self.handlers or (src, dst) in self.refused:
             await trio.sleep(self.latency)
@@ -78,7 +93,11 @@
         item = _Held(src, dst, request, sender)
         with trio.move_on_after(timeout):
             await trio.sleep(self.latency)
-            if self.is_cut(src, dst) or self.hold_request(src, dst, request):
+            self.copy(src, dst, request)
+            delay = self.late(src, dst, request)
+            if delay is not None:
+                self._nursery.start_soon(self._deliver_late, item, delay)
+            elif self.is_cut(src, dst) or self.hold_request(src, dst, request):
                 self._held.append(item)
             else:
                 self._nursery.start_soon(self._deliver, item)
--- a/sorrelsill/standins/world.py
+++ b/sorrelsill/standins/world.py
@@ -72,6 +72,7 @@
         self.accepted: set[str] = set()
         self.over: dict[str, str] = {}  # what users were told: uid -> done or cancelled
         self.cancelled_at: dict[str, float] = {}
+        self.started_cancelled = 0  # starts after their user was told that the job is cancelled
         self.starts: list[tuple[float, str, str]] = []  # time, task, machine
         self.finished: set[str] = set()
         self.gangs = Gangs(GANG_WAIT_S, GANG_PEER_S)
@@ -162,6 +163,81 @@
         for label in LABELS:
             self.net.cut(name, label)
 
+    def deafen(self, name: str) -> None:
+        """Its reports arrive; answers and direct commands are lost."""
+        for label in LABELS:
+            self.net.cut(label, name, both=False)
+
+    def mute(self, name: str) -> None:
+        """It reaches no controller; direct commands reach it and are answered."""
+        self.net.refused |= {(name, label) for label in LABELS}
+
+    def hang(self, name: str) -> None:
+        """It does nothing until it goes on, within its lease or without its tasks."""
+        self.workers[name].hung = True
+
+    # --- messages that come late, twice or not at all ---
+
+    def late_writes(self, share: float, at_once: bool = False) -> None:
+        """Of this share of transactions the sender gets no answer; they are carried out at once, or 2 to 12 s later and
+        so after newer ones."""
+
+        def late(src: str, dst: str, request: Request) -> float | None:
+            if request.path != "/multi" or self.rng.random() >= share:
+                return None
+            return 0.0 if at_once else self.rng.uniform(2.0, 12.0)
+
+        self.net.late = late
+
+    def late_reports(self, share: float, for_next: bool = False) -> None:
+        """Of this share of the reports a copy reaches every controller, from 2 s to well over a lease later, or just as
+        the next leader begins."""
+
+        async def deliver(src: str, request: Request) -> None:
+            if for_next:
+                led = len(self.led)
+                while len(self.led) == led:
+                    await trio.sleep(0.05)
+            else:
+                await trio.sleep(self.rng.uniform(2.0, 2.0 * LEASE_S))
+            for label in LABELS:
+                await self.net.deliver_copy(src, label, request)
+
+        def copy(src: str, dst: str, request: Request) -> None:
+            if request.path == "/hello" and self.rng.random() < share:
+                self.nursery.start_soon(deliver, src, request)
+
+        self.net.copy = copy
+
+    async def calm(self) -> None:
+        """All troubles end. Then what users check at a day's end: every job's users are answered within 75 s, and every
+        job that was accepted and not cancelled runs or is done, as long as there is room."""
+        self.net.late = lambda src, dst, request: None
+        self.net.copy = lambda src, dst, request: None
+        self.net.drop_answers = lambda src, dst, request: False
+        self.net.hold_request = lambda src, dst, request: False
+        self.net.refused.clear()
+        self.net.heal()
+        self.store.end_outage()
+        self.store.refused.clear()
+        for worker in self.workers.values():
+            worker.hung = False
+        for label in LABELS:
+            if label in self.net.down:
+                self.start(label)
+        began = trio.current_time()
+        for uid in sorted(self.accepted):
+            while (await self.poll(uid))[0] != 200:
+                assert trio.current_time() < began + 75, f"no answer about {uid}"
+        wanted = [uid for uid in sorted(self.accepted) if uid not in self.cancelled_at]
+        for uid in wanted:
+            spec = self.specs[uid]
+            if spec["shape"] == "standing":
+                await self.until(lambda u=uid, n=spec["shards"]: len(self.running(u)) == n, 90)  # type: ignore[misc]
+            else:
+                await self.until_phase(uid, "done", 90 + spec["expectedRunS"] * spec["shards"])
+        await trio.sleep(1)
+
     # --- the rules ---
 
     def _hear(self, worker: FakeWorker, shard: str, on: bool) -> None:
@@ -170,6 +246,7 @@
             return
         now = trio.current_time()
         self.starts.append((now, shard, worker.name))
+        self.started_cancelled += uid in self.cancelled_at
         if now - self.cancelled_at.get(uid, now) > CANCEL_S:
             self.broken.append(f"ran_cancelled: {shard} starts on {worker.name}")
         others = [w for w in self.workers.values() if w is not worker and shard in w.on]
--- /dev/null
+++ b/sorrelsill/stories/test_meetings.py
@@ -0,0 +1,297 @@
+"""Meetings of two troubles, as the users tell them: looks at all controllers within milliseconds, lost answers,
+transactions and reports that come late, hands that change, machines that are cut off, hang, hear or tell nothing. The
+stand-ins check the protocol's rules on the way, and at the end that nothing is forgotten or left waiting."""
+
+import pytest
+import trio
+
+from sorrelsill.settings import Team
+from sorrelsill.standins import World, job, story
+from sorrelsill.standins.world import LABELS, LEASE_S
+
+from .test_failures import service
+
+
+async def look(world: World, uid: str, rounds: int = 3) -> None:
+    """Polls and repeats of the submission at all controllers, again within milliseconds."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(rounds):
+            for label in LABELS:
+                nursery.start_soon(world.ask, label, "GET", f"/v2/runs/{uid}")
+                nursery.start_soon(world.ask, label, "POST", "/v2/runs", world.specs[uid])
+            await trio.sleep(0.003)
+
+
+@pytest.mark.parametrize("trouble", ["none", "lost answers", "late writes", "leaders change"])
+def test_close_looks_get_nothing_older_than_what_was_told(trouble: str) -> None:
+    """Right after a job was accepted, ended or confirmed as cancelled."""
+
+    async def tell(world: World) -> None:
+        await world.until_leader()
+        if trouble in ("lost answers", "late writes"):
+            world.late_writes(0.3, at_once=trouble == "lost answers")
+        for number in range(12):
+            if trouble == "leaders change" and number % 4 == 3:
+                leader = world.leader() or "n0"
+                world.kill(leader)
+                world.nursery.start_soon(_back, world, leader, 0.3)
+            uid = f"run-{number}"
+            await world.submit(job(uid, shards=1, vcpus=1.0, expectedRunS=1.0, sizeGb=0.0))
+            await look(world, uid)
+            if number % 3 == 0:
+                await world.cancel(uid)
+                await look(world, uid)
+            elif number % 3 == 1:
+                await world.until(lambda u=uid: f"{u}/0" in world.finished, 60)  # type: ignore[misc]
+                await world.cancel(uid)  # at the end of its last task
+                await look(world, uid)
+            else:
+                await world.until_phase(uid, "done", 120)
+                await look(world, uid)
+        await world.calm()
+        for uid in sorted(world.accepted):
+            await look(world, uid)
+
+    story(tell)
+
+
+async def _back(world: World, label: str, away_s: float) -> None:
+    await trio.sleep(away_s)
+    if label in world.net.down:
+        world.start(label)
+
+
+def test_transactions_carried_out_late_change_nothing_that_was_told() -> None:
+    """After newer ones of the same controller, and after its end."""
+
+    async def tell(world: World) -> None:
+        await world.until_leader()
+        world.late_writes(0.25)
+        for number in range(10):
+            uid = f"run-{number}"
+            await world.submit(job(uid, shards=2, vcpus=1.0, expectedRunS=3.0))
+            if number % 3 == 0:
+                await world.cancel(uid)
+            if number % 4 == 2:
+                leader = await world.until_leader()
+                world.kill(leader)
+                await trio.sleep(0.2)
+                world.start(leader)
+        await trio.sleep(20)
+        await world.calm()
+
+    story(tell)
+
+
+@pytest.mark.parametrize("for_next", [True, False])
+def test_old_reports_reach_every_controller_as_a_leader_begins(for_next: bool) -> None:
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=4, vcpus=1.0))
+        await world.submit(job("run-a", shards=16, vcpus=1.0, expectedRunS=9.0))
+        await world.until(lambda: len(world.running("run-s")) == 4)
+        world.late_reports(0.4, for_next)
+        for turn in range(4):
+            await trio.sleep(6)
+            leader = await world.until_leader()
+            world.kill(leader)
+            if turn == 1 and world.running("run-a"):
+                world.cut_machine(world.running("run-a")[0][1])
+            if turn == 2:
+                await world.submit(service("run-c", shards=2, vcpus=1.0))
+                await world.cancel("run-c")
+            await trio.sleep(2)
+            world.start(leader)
+        await world.calm()
+
+    story(tell, teams=[Team("red", cpus_max=24.0), Team("blue")])
+
+
+def test_jobs_are_cancelled_in_the_seconds_in_which_work_changes_hands() -> None:
+    async def tell(world: World) -> None:
+        names = [f"run-{n}" for n in range(9)]
+        for uid in names:
+            await world.submit(service(uid, shards=2, vcpus=1.0))
+        await world.until(lambda: all(len(world.running(uid)) == 2 for uid in names))
+        for turn in range(3):
+            leader = await world.until_leader()
+            await world.cancel(names[3 * turn])
+            world.kill(leader)
+            await world.cancel(names[3 * turn + 1])
+            world.start(leader)
+            await world.until_leader()
+            await world.cancel(names[3 * turn + 2])
+        assert world.started_cancelled == 0
+        await world.until(lambda: not any(world.running(uid) for uid in names), 15)
+
+    story(tell)
+
+
+@pytest.mark.parametrize("trouble", ["cut", "hang", "deaf", "mute"])
+def test_full_teams_whose_cancelled_jobs_stay_on_machines_that_cannot_be_asked(trouble: str) -> None:
+    """The leader changes as well. What may still run counts toward the limit until it is proved gone."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 8
+        for team in ("red", "blue"):
+            for number in range(4):
+                await world.submit(service(f"run-{team}{number}", owner=team, shards=2, vcpus=2.0))
+        await world.until(lambda: sum(len(w.on) for w in world.workers.values()) == 16)
+        for team in ("red", "blue"):
+            for number in range(4, 6):
+                await world.submit(service(f"run-{team}{number}", owner=team, shards=2, vcpus=2.0))
+        gone = {name for uid in ("run-red0", "run-blue0") for _, name in world.running(uid)}
+        act = {"cut": world.cut_machine, "hang": world.hang, "deaf": world.deafen, "mute": world.mute}[trouble]
+        for name in gone:
+            act(name)
+        leader = await world.until_leader()
+        await world.cancel("run-red0")
+        world.kill(leader)
+        await world.cancel("run-blue0")
+        await trio.sleep(1)
+        await world.cancel("run-red1")
+        await world.until_leader(15)
+        await trio.sleep(8)
+        world.start(leader)
+        await trio.sleep(3 * LEASE_S)
+        for uid in ("run-blue1", "run-red2", "run-blue2"):
+            await world.cancel(uid)  # so that all that is left has room in its team
+        await world.calm()
+
+    story(tell, teams=[Team("red", cpus_max=16.0), Team("blue", cpus_max=16.0)])
+
+
+def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends() -> None:
+    async def tell(world: World) -> None:
+        await world.until_leader()
+        world.late_writes(0.5)
+        await world.submit(job("run-a", shards=12, vcpus=2.0, expectedRunS=8.0))
+        for _ in range(3):
+            await world.until(lambda: bool(world.workers), 60)
+            await trio.sleep(0.7)
+            leader = await world.until_leader(20)
+            world.kill(leader)
+            await trio.sleep(0.3)
+            world.start(leader)
+            await trio.sleep(4)
+        await world.calm()
+
+    story(tell)
+
+
+def test_ten_changes_of_leader_in_two_minutes_also_in_an_outage() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=4, vcpus=1.0))
+        await world.until(lambda: len(world.running("run-s")) == 4)
+        for turn in range(10):
+            began = trio.current_time()
+            await world.submit(job(f"run-{turn}", shards=2, vcpus=1.0, expectedRunS=4.0), 5.0)
+            leader = world.leader() or LABELS[turn % 3]
+            world.kill(leader)
+            if turn in (3, 7):
+                world.store.begin_outage()
+            await trio.sleep(0.2 if turn % 2 else 4.0)
+            world.start(leader)
+            await trio.sleep(3)
+            world.store.end_outage()
+            await trio.sleep_until(began + 12)
+        await world.calm()
+        assert len(world.led) > 5
+
+    story(tell)
+
+
+def test_one_task_jobs_four_a_second_a_quarter_cancelled() -> None:
+    """Every job is answered for, starts and ends; the leader changes in the middle."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity = 16
+        await world.until_leader()
+        cancelled = 0
+
+        async def one(number: int) -> None:
+            nonlocal cancelled
+            uid = f"run-{number}"
+            await world.submit(job(uid, shards=1, vcpus=0.5, memoryGb=1.0, expectedRunS=10.0))
+            if number % 4 == 0:
+                await trio.sleep(world.rng.uniform(0, 12))
+                cancelled += (await world.cancel(uid)).get("phase") == "cancelled"
+
+        async with trio.open_nursery() as nursery:
+            for number in range(360):
+                nursery.start_soon(one, number)
+                if number == 180:
+                    leader = await world.until_leader()
+                    world.kill(leader)
+                    nursery.start_soon(_back, world, leader, 4.0)
+                await trio.sleep(0.25)
+        assert cancelled > 50
+        await world.calm()
+
+    story(tell)
+
+
+def test_all_controllers_are_away_for_longer_than_a_lease() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=4, vcpus=1.0))
+        await world.submit(job("run-a", shards=6, vcpus=1.0, expectedRunS=20.0))
+        await world.submit(service("run-c", shards=2, vcpus=1.0))
+        await world.until(lambda: len(world.running("run-c")) == 2 and len(world.running("run-a")) == 6)
+        await world.cancel("run-c")
+        for label in LABELS:
+            world.kill(label)
+        await trio.sleep(2 * LEASE_S)
+        assert not any(world.running(uid) for uid in ("run-s", "run-a", "run-c"))
+        world.start("n1")
+        assert (await world.poll("run-a", "n1"))[0] in (200, 503)
+        await trio.sleep(3)
+        assert (await world.poll("run-a", "n1"))[0] == 200 and await world.submit(job("run-n")) == 201
+        await world.until_leader(15)
+        await world.calm()
+
+    story(tell)
+
+
+def test_odd_requests_keep_their_answers() -> None:
+    async def tell(world: World) -> None:
+        await world.until_leader()
+        await world.submit(job("run-a", expectedRunS=1.0))
+        await world.until_phase("run-a", "done")
+        for label in LABELS:
+            assert (await world.ask(label, "POST", "/v2/runs", world.specs["run-a"]))[0] == 200
+            assert (await world.ask(label, "POST", "/v2/runs/run-a/cancel"))[1]["phase"] == "done"
+            lacking = {k: v for k, v in job("run-x").items() if k != "shards"}
+            assert (await world.ask(label, "POST", "/v2/runs", lacking))[0] == 400
+            assert (await world.ask(label, "POST", "/v2/runs", job("run-y", vcpus=4000.0)))[0] == 422
+            assert (await world.ask(label, "POST", "/v2/runs", job("run-z", owner="nobody")))[0] == 422
+            for uid in ("run-x", "run-y", "run-z", "run-never"):
+                assert (await world.ask(label, "GET", f"/v2/runs/{uid}"))[0] == 404
+                assert (await world.ask(label, "POST", f"/v2/runs/{uid}/cancel"))[0] == 404
+
+    story(tell)
+
+
+def test_a_damaged_record_costs_nobody_else_anything_and_can_be_cancelled() -> None:
+    """Found by reading: a damaged time in one record made every follower read all keys anew, again and again."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=2, vcpus=1.0))
+        await world.submit(service("run-d", shards=2, vcpus=1.0))
+        await world.until(lambda: len(world.running("run-d")) == 2)
+        for broken in ({"t": "soon"}, {"s": None}, {"n": "x", "d": "9999"}):
+            value, _, _ = world.store.kv["s/j/run-d"]
+            world.store._multi({"if": [], "writes": [{"set": "s/j/run-d", "value": {**value, **broken}}]})
+            await trio.sleep(1)
+            world.kill(await world.until_leader())
+            await world.until_leader(15)
+            for label in LABELS:
+                if label in world.net.down:
+                    world.start(label)
+            await trio.sleep(4)
+            assert (await world.poll("run-d"))[0] == 200
+        await world.submit(job("run-n", expectedRunS=1.0))
+        await world.until_phase("run-n", "done")
+        assert (await world.cancel("run-d"))["phase"] == "cancelled"
+        await world.until(lambda: not world.running("run-d"), 20)
+        await world.calm()
+
+    story(tell)
