--- a/sorrelsill/stories/test_meetings.py
+++ b/sorrelsill/stories/test_meetings.py
@@ -79,6 +79,13 @@
                 world.start(leader)
         await trio.sleep(20)
         await world.calm()
+        for label in LABELS:  # what memories hide, the records have to say as well
+            world.kill(label)
+        for label in LABELS:
+            world.start(label)
+        await world.calm()
+        for uid in sorted(world.accepted):
+            await look(world, uid)
 
     story(tell)
 
@@ -169,10 +176,14 @@
             await world.until(lambda: bool(world.workers), 60)
             await trio.sleep(0.7)
             leader = await world.until_leader(20)
+            busy = next((name for name, worker in world.workers.items() if worker.tasks), None)
             world.kill(leader)
+            if busy is not None:
+                world.net.refused = {(busy, label) for label in LABELS}  # it takes its time to find the next leader
             await trio.sleep(0.3)
             world.start(leader)
-            await trio.sleep(4)
+            await trio.sleep(5)
+            world.net.refused.clear()
         await world.calm()
 
     story(tell)
@@ -224,7 +235,7 @@
                     world.kill(leader)
                     nursery.start_soon(_back, world, leader, 4.0)
                 await trio.sleep(0.25)
-        assert cancelled > 50
+        assert cancelled > 50 and world.started_cancelled <= cancelled // 10, world.started_cancelled
         await world.calm()
 
     story(tell)
@@ -280,13 +291,13 @@
         for broken in ({"t": "soon"}, {"s": None}, {"n": "x", "d": "9999"}):
             value, _, _ = world.store.kv["s/j/run-d"]
             world.store._multi({"if": [], "writes": [{"set": "s/j/run-d", "value": {**value, **broken}}]})
-            await trio.sleep(1)
-            world.kill(await world.until_leader())
+            world.kill(await world.until_leader())  # it would write its own record over it
             await world.until_leader(15)
             for label in LABELS:
                 if label in world.net.down:
                     world.start(label)
             await trio.sleep(4)
+            await world.until_leader()
             assert (await world.poll("run-d"))[0] == 200
         await world.submit(job("run-n", expectedRunS=1.0))
         await world.until_phase("run-n", "done")
