--- a/sorrelsill/stories/test_meetings.py
+++ b/sorrelsill/stories/test_meetings.py
@@ -2,9 +2,11 @@
 transactions and reports that come late, hands that change, machines that are cut off, hang, hear or tell nothing. The
 stand-ins check the protocol's rules on the way, and at the end that nothing is forgotten or left waiting."""
 
+import msgspec
 import pytest
 import trio
 
+from sorrelsill.http import Request
 from sorrelsill.settings import Team
 from sorrelsill.standins import World, job, story
 from sorrelsill.standins.world import LABELS, LEASE_S
@@ -90,6 +92,76 @@
     story(tell)
 
 
+def test_a_record_written_late_does_not_bring_a_finished_job_back() -> None:
+    """The leader's own, carried out after its newer one that ended the job."""
+
+    async def tell(world: World) -> None:
+        await world.until_leader()
+        held: list[str] = []
+
+        def late(src: str, dst: str, request: Request) -> float | None:
+            if request.path != "/multi" or held:
+                return None
+            writes = msgspec.msgpack.decode(request.body)["writes"]
+            if any(w.get("set") == "s/j/run-a" and w["value"]["r"] for w in writes):
+                held.append(src)
+                return 12.0
+            return None
+
+        world.net.late = late
+        await world.submit(job("run-a", shards=2, expectedRunS=3.0))
+        await world.until_phase("run-a", "done")
+        assert held
+        await trio.sleep(15)
+        for label in LABELS:
+            world.kill(label)
+        for label in LABELS:
+            world.start(label)
+        await trio.sleep(5)
+        await look(world, "run-a")
+        assert (await world.poll("run-a"))[1]["phase"] == "done"
+
+    story(tell)
+
+
+def test_an_old_report_names_a_task_that_runs_elsewhere_now() -> None:
+    """It reaches the next leader first; the machine that truly has the task takes its time to find that leader."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=1, vcpus=6.0))
+        await world.until(lambda: len(world.running("run-s")) == 1)
+        first = world.running("run-s")[0][1]
+        old: list[Request] = []
+
+        def keep(src: str, dst: str, request: Request) -> None:
+            if src == first and request.path == "/hello" and b"run-s/0" in request.body:
+                old.append(request)
+
+        world.net.copy = keep
+        await trio.sleep(3)
+        world.cut_machine(first)
+        await world.until(lambda: [h for _, h in world.running("run-s")] not in ([], [first]), 60)
+        second = next(h for _, h in world.running("run-s") if h != first)
+        await trio.sleep(3)
+        before = len(world.starts)
+        leader = await world.until_leader()
+        world.kill(leader)
+        world.net.refused = {(second, label) for label in LABELS}
+        world.cut_machine(second)
+        await world.until_leader(15)
+        for label in LABELS:
+            await world.net.deliver_copy(first, label, old[-1])
+        world.net._cuts = {c for c in world.net._cuts if second in c}
+        await trio.sleep(5)
+        world.net.refused.clear()
+        world.net.heal()
+        world.start(leader)
+        await world.calm()
+        assert len(world.starts) == before, "it ran on where it was"
+
+    story(tell)
+
+
 @pytest.mark.parametrize("for_next", [True, False])
 def test_old_reports_reach_every_controller_as_a_leader_begins(for_next: bool) -> None:
     async def tell(world: World) -> None:
@@ -168,22 +240,27 @@
 
 
 def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends() -> None:
+    """The roster's write gets no answer and comes late; the machines take their time to find the next leader."""
+
     async def tell(world: World) -> None:
         await world.until_leader()
-        world.late_writes(0.5)
-        await world.submit(job("run-a", shards=12, vcpus=2.0, expectedRunS=8.0))
+        world.net.late = lambda src, dst, request: (
+            12.0 if request.path == "/multi" and b"s/m/" in request.body else None
+        )
+        await world.submit(job("run-a", shards=8, vcpus=2.0, expectedRunS=25.0))
         for _ in range(3):
             await world.until(lambda: bool(world.workers), 60)
-            await trio.sleep(0.7)
+            await trio.sleep(2)
             leader = await world.until_leader(20)
-            busy = next((name for name, worker in world.workers.items() if worker.tasks), None)
             world.kill(leader)
-            if busy is not None:
-                world.net.refused = {(busy, label) for label in LABELS}  # it takes its time to find the next leader
+            world.net.refused = {(name, label) for name in list(world.workers)[::2] for label in LABELS}
+            for name in list(world.workers)[::2]:
+                world.cut_machine(name)
             await trio.sleep(0.3)
             world.start(leader)
-            await trio.sleep(5)
+            await trio.sleep(7)
             world.net.refused.clear()
+            world.net.heal()
         await world.calm()
 
     story(tell)
@@ -198,12 +275,14 @@
             await world.submit(job(f"run-{turn}", shards=2, vcpus=1.0, expectedRunS=4.0), 5.0)
             leader = world.leader() or LABELS[turn % 3]
             world.kill(leader)
+            world.cut_machine(world.running("run-s")[0][1])  # one machine does not find the next leader at once
             if turn in (3, 7):
                 world.store.begin_outage()
             await trio.sleep(0.2 if turn % 2 else 4.0)
             world.start(leader)
             await trio.sleep(3)
             world.store.end_outage()
+            world.net.heal()
             await trio.sleep_until(began + 12)
         await world.calm()
         assert len(world.led) > 5
