A leader that stood still does not take the workers for silent; more stories of the gap

It now judges the workers only while it is valid; otherwise its next ping tells whether it still leads. Stories: three controllers that all read the records just before the outage; a removal that the view has not reached.

--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -131,7 +131,8 @@
             log.error("yielding: loops stalled or exited: %s", ", ".join(out))
             await self._yield(lease)
             return
-        if self.deaf():
+        if self.valid() and self.deaf():
+            # Only while valid: one that stood still itself heard nobody either; its pings tell whether it still leads.
             # Guards against a leader that reaches the store but not the workers: their leases would all run out.
             log.error("yielding: no worker is heard any more")
             self.acquire_after = trio.current_time() + C.DEAF_HOLD_S
--- a/sorrelsill/store/test_view.py
+++ b/sorrelsill/store/test_view.py
@@ -75,3 +75,24 @@
         assert view.lately_over(10) == []
 
     _follow(tell)
+
+
+def test_a_removal_that_the_view_has_not_reached_yet_is_remembered() -> None:
+    """A job cancelled here, before the watch told of it, must not come back with a watch answer that was on its way.
+    Its tasks may run on for a while, so it counts as lately over all the same."""
+
+    async def tell(view: View, fake: FakeStore) -> None:
+        key, heard = job_key("run-1"), []
+        await trio.sleep(1)
+        since = view.rev
+        accepted = write(fake, key, {"n": 1})
+        older = (accepted, [{"set": key, "value": {"n": 1}, "keyRev": accepted}])
+        view.listeners.append(lambda k, value, rev: heard.append((k, value)))
+        view.apply(key, None, accepted + 1, False)
+        view._take(since, older, trio.current_time())
+        assert view.job("run-1") is None and (key, {"n": 1}) not in heard
+        assert [uid for uid in view.ended] == ["run-1"]
+        write(fake, key, None)
+        assert await view.barrier() and view.job("run-1") is None and not view._removed
+
+    _follow(tell)
--- a/sorrelsill/stories/test_cancelled.py
+++ b/sorrelsill/stories/test_cancelled.py
@@ -135,6 +135,27 @@
     story(tell)
 
 
+def test_all_controllers_are_new_and_read_the_records_just_before_the_outage() -> None:
+    """None of them learnt of the cancellation, as they only read what is live: what is not live has to go."""
+
+    async def tell(world: World) -> None:
+        old = await two_services(world, "run-c")
+        world.kill(old)
+        await cancel_at(world, others(old)[0], "run-c")
+        for label in others(old):
+            world.kill(label)
+        await trio.sleep(0.2)
+        for label in LABELS:
+            world.start(label)
+        await world.until(lambda: all(node.view.loaded for node in world.nodes.values()), 3)
+        assert world.leader() is None and len(world.running("run-c")) == 2
+        world.store.begin_outage()
+        await trio.sleep(2 * CANCEL_S)
+        assert world.running("run-c") == [] and len(world.running("run-s")) == 2
+
+    story(tell)
+
+
 @pytest.mark.parametrize("confirms_old", [True, False])
 def test_the_gap_with_a_controller_of_the_former_version(confirms_old: bool) -> None:
     """It names no cancellations, so the bound is what our own view and new peers prove. A leader of that version renews
--- a/sorrelsill/stories/test_failures.py
+++ b/sorrelsill/stories/test_failures.py
@@ -335,6 +335,27 @@
     story(tell)
 
 
+def test_a_leader_that_stood_still_for_a_moment_does_not_take_the_workers_for_silent() -> None:
+    """Seen in an incident: thawed, it blamed the workers and left the key to others for a while, though it had it."""
+
+    async def tell(world: World) -> None:
+        await world.submit(service("run-s", shards=4))
+        await world.until(lambda: len(world.running("run-s")) == 4)
+        label = await world.until_leader()
+        node = world.nodes[label]
+        term = node.elector.term
+        await trio.sleep(5)
+        # As after a standstill of the process: no report was taken in and no ping went out meanwhile.
+        ledger = node.ledger
+        assert ledger is not None
+        now = trio.current_time()
+        ledger.heard_at, node.elector._good_ping = now - 3.5, now - 3.5
+        await trio.sleep(3)
+        assert node.elector.term == term and node.elector.valid()
+
+    story(tell)
+
+
 def test_a_new_leader_does_not_give_back_machines_it_has_not_heard_yet() -> None:
     """Found on a day of our own: old machines that were slow to reach the new leader all went back."""
 
