Measure the leader's processor time by part at 930, 2,000 and 4,000 machines

Need: fleets of 4,000 machines are to be served, and nothing showed what such a fleet costs the leader.

tests/load/leader_cpu.py plays the leader's own code against simulated machines and jobs in proportion to the largest site file, and prints each part's processor time and its distribution (hdrhistogram). The stand-in of the leader in memory moves out of test_fleet.py into the simulation so that both use it; the tests are the same.

--- /dev/null
+++ b/tests/load/leader_cpu.py
@@ -0,0 +1,257 @@
+"""Measure the leader's processor time per second of service, by part, at several fleet sizes.
+
+    python -m tests.load.leader_cpu --machines 930 2000 4000 --seconds 30
+
+The leader's own code decides on simulated machines and jobs; nothing is sent. Rates of jobs follow the largest site
+file, in proportion to the machines. Not part of CI: the figures depend on the machine that measures."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from types import TracebackType
+
+import click
+import msgspec
+import trio
+import trio.testing
+from hdrh.histogram import HdrHistogram
+
+from sorrelsill import constants
+from sorrelsill.fleet import Cloud, FleetManager
+from sorrelsill.http import Client, Reply, Request, Server
+from sorrelsill.jobs import JobSpec
+from sorrelsill.settings import CloudLimits, Team
+from sorrelsill.workers import enforce_gang_completeness, parse_report
+from tests.simulation.leader_in_memory import LeaderInMemory, array_job
+
+STEP_S = 0.05  # s; simulated time between two looks at what is due, about a round of placing
+REPORT_S = 2.5  # s; the interval between reports
+LARGEST_SITE = 617  # machines; the rates of jobs below belong to so many
+SERVICES = 63  # jobs; running from the start
+ARRAYS_PER_S = 43 / 60  # of 50 tasks of one CPU for some 25 s
+SWEEPS_PER_S = 36 / 60  # of 25 tasks of two CPUs for some 70 s
+LONGEST_STEP_US = 60_000_000  # us; the longest step that the distributions can hold
+FRAMING_EXCHANGES = 2000  # exchanges from which the cost of one is taken
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class _Part(AbstractContextManager["_Part"]):
+    """Processor time spent in one part of the leader, in all and as a distribution over its steps."""
+
+    def __init__(self) -> None:
+        self.spent_s = 0.0
+        self.steps_us = HdrHistogram(1, LONGEST_STEP_US, 2)
+        self._begun = 0.0
+
+    def __enter__(self) -> _Part:
+        self._begun = time.process_time()
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None, at: TracebackType | None) -> None:
+        spent = time.process_time() - self._begun
+        self.spent_s += spent
+        self.steps_us.record_value(max(1, int(spent * 1e6)))
+
+    def at_percentile_ms(self, percentile: float) -> float:
+        """How long so many of its steps took at the most."""
+        return float(self.steps_us.get_value_at_percentile(percentile)) / 1000
+
+
+class Load:
+    """Machines that report, jobs that come and end, and the leader's parts with their cost."""
+
+    def __init__(self, machines: int, burst: float, seed: int) -> None:
+        teams = [Team("blue", cpus=machines * 8.0), Team("green", cpus=machines * 4.0)]
+        self.leader = LeaderInMemory(machines, teams=teams)
+        self._scale = machines / LARGEST_SITE
+        self._burst = burst
+        self._rng = random.Random(seed)
+        self._jobs_made = 0
+        self._due = {"array": 0.0, "sweep": 0.0}
+        self._ends: list[tuple[float, str, tuple[str, int]]] = []
+        self._changed: set[str] = set()
+        self._schedule = deque(self.leader.names)
+        self.parts = {name: _Part() for name in ("reports", "losses", "rounds", "fleet", "list")}
+        cloud = Cloud(Client("10.0.0.1:1"), CloudLimits(5.0, 12.0))
+        self._fleet = FleetManager(
+            cloud,
+            self.leader.cluster,
+            lambda: True,
+            lambda: list(self.leader.placer.unplaced.values()),
+            True,
+            12.0,
+            {"service"},
+        )
+        self._fleet._lists = 1
+        self.reports = 0
+        self.waiting_most = 0
+
+    def _add(self, name: str, **fields: object) -> None:
+        self._jobs_made += 1
+        owner = ("blue", "green")[self._jobs_made % 2]
+        spec: JobSpec = array_job(f"run-{self._jobs_made:06d}", owner=owner, workload=name, **fields)
+        self.leader.add(spec)
+
+    def begin(self) -> None:
+        """All machines are up and the services run."""
+        self.leader.all_report()
+        self.leader.all_report()
+        for _ in range(int(SERVICES * self._scale)):
+            self._add("service", shape="standing", rank="prod", shards=7, vcpus=4.0, memoryGb=13.0, expectedRunS=0.0)
+        self.leader.round()
+        self.leader.all_report()
+
+    def _jobs_come(self) -> None:
+        for name, rate, shards, cpus, run_s in (
+            ("array", ARRAYS_PER_S, 50, 1.0, 25.0),
+            ("sweep", SWEEPS_PER_S, 25, 2.0, 70.0),
+        ):
+            self._due[name] += rate * self._scale * self._burst * STEP_S
+            while self._due[name] >= 1.0:
+                self._due[name] -= 1.0
+                rank = "standard" if name == "array" else "best_effort"
+                image = f"img-{self._rng.randrange(14)}"
+                self._add(name, shards=shards, vcpus=cpus, rank=rank, bundle=image, expectedRunS=run_s)
+
+    def _tasks_end(self) -> None:
+        now = self.leader.now
+        while self._ends and self._ends[0][0] <= now:
+            _, name, key = heapq.heappop(self._ends)
+            if self.leader.tasks[name].get(key) == "running":
+                self.leader.tasks[name][key] = "exited"
+                self._changed.add(name)
+
+    def _report(self, name: str) -> None:
+        leader = self.leader
+        body = _encode(leader.next_report(name))
+        with self.parts["reports"]:
+            commands = leader.cluster.on_report(parse_report(body), leader.now) or []
+            _encode({"epoch": leader.cluster.term, "orders": commands})
+        before = set(leader.tasks[name])
+        leader.obey(name, commands)
+        self.reports += 1
+        for key in leader.tasks[name].keys() - before:
+            spec = leader.cluster.jobs[key[0].rpartition("/")[0]].spec
+            if not spec.endless:
+                heapq.heappush(self._ends, (leader.now + spec.expected_s * self._rng.uniform(0.6, 1.4), name, key))
+
+    def _machines_report(self) -> None:
+        count = max(1, int(len(self._schedule) * STEP_S / REPORT_S))
+        regular = set(self._schedule[i] for i in range(count))
+        self._schedule.rotate(-count)
+        pushed = set(self.leader.cluster.machines_with_pending_commands)
+        self.leader.cluster.machines_with_pending_commands.clear()
+        due = regular | self._changed | pushed
+        self._changed.clear()
+        for name in sorted(due):
+            self._report(name)
+
+    def _record(self) -> None:
+        """What the writer of records does to the cluster state once a write is committed."""
+        cluster = self.leader.cluster
+        for job_id in list(cluster.dirty):
+            job = cluster.jobs.get(job_id)
+            for attempt in cluster.unrecorded(job_id):
+                attempt.clearable = True
+            if job is not None and job.done.count == job.spec.shards and not job.spec.endless:
+                cluster.end_job(job_id)
+        cluster.dirty.clear()
+
+    def step(self) -> None:
+        """One step of simulated time."""
+        leader, cluster = self.leader, self.leader.cluster
+        leader.now += STEP_S
+        self._jobs_come()
+        self._tasks_end()
+        self._machines_report()
+        self._record()
+        with self.parts["losses"]:
+            cluster.expire_leases(leader.now)
+            cluster.drain(leader.now)
+            enforce_gang_completeness(cluster)
+        with self.parts["rounds"]:
+            leader.placer.round(cluster, leader.now, time.process_time, constants.ROUND_BUDGET_S)
+        self.waiting_most = max(self.waiting_most, len(leader.placer.unplaced))
+        if leader.now % constants.PLAN_EVERY_S < STEP_S:
+            with self.parts["fleet"]:
+                self._fleet._choose_returns(leader.now)
+                self._fleet._choose_rentals(leader.now)
+            self._fleet._open.clear()
+        if leader.now % constants.LIST_EVERY_S < STEP_S:
+            found = {name: {"phase": "running", "ageS": leader.now} for name in leader.names}
+            with self.parts["list"]:
+                self._fleet.take_list(found, leader.now)
+
+
+def framing_s() -> float:
+    """Processor time of one exchange of a plain report over memory streams, sender included."""
+    body = _encode(LeaderInMemory(1).next_report("m-000000"))
+
+    async def answer(request: Request) -> Reply:
+        return Reply(200, body)
+
+    async def main() -> float:
+        here, there = trio.testing.memory_stream_pair()
+
+        async def connect(addr: str) -> trio.abc.Stream:
+            return here
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(Server(answer, 4).serve_stream, there)
+            client = Client("10.0.0.1:80", connect)
+            begun = time.process_time()
+            for _ in range(FRAMING_EXCHANGES):
+                await client.request("POST", "/hello", body)
+            spent = time.process_time() - begun
+            nursery.cancel_scope.cancel()
+        return spent / FRAMING_EXCHANGES
+
+    return trio.run(main)
+
+
+def measure(
+    machines: int, seconds: float, burst: float, seed: int, exchange_s: float, say: Callable[[str], None]
+) -> None:
+    """Play some seconds and say what each part took."""
+    load = Load(machines, burst, seed)
+    load.begin()
+    while load.leader.now < seconds:
+        load.step()
+    total = sum(part.spent_s for part in load.parts.values()) / seconds
+    rate = load.reports / seconds
+    framing = rate * exchange_s
+    say(
+        f"{machines} machines, jobs at {burst:g} of the usual rate: {total:.3f} s/s, with framing {total + framing:.3f}"
+        f" ({rate:.0f} reports/s, {len(load.leader.cluster.jobs)} live jobs, {load.waiting_most} waiting at most)"
+    )
+    for name, part in load.parts.items():
+        steps = ", ".join(f"{p:g}%: {part.at_percentile_ms(p):.2f} ms" for p in (50, 99, 100))
+        say(f"  {name:8} {part.spent_s / seconds:.4f} s/s; a step {steps}")
+    say(f"  {'framing':8} {framing:.4f} s/s")
+
+
+@click.command()
+@click.option("--machines", multiple=True, type=int, default=(930, 2000, 4000), show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, help="simulated time for each size")
+@click.option("--burst", default=1.0, show_default=True, help="rate of jobs, in multiples of the usual one")
+@click.option("--seed", default=1, show_default=True)
+def main(machines: tuple[int, ...], seconds: float, burst: float, seed: int) -> None:
+    """Print the leader's processor time per second of service."""
+
+    async def play(count: int, framing: float) -> None:
+        measure(count, seconds, burst, seed, framing, click.echo)
+
+    framing = framing_s()
+    for count in machines:
+        # The fleet's code asks for the time of the event loop.
+        trio.run(play, count, framing, clock=trio.testing.MockClock())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -1,110 +1,26 @@
 """Some 930 machines, and many that fall together. Work is counted in calls of the package's own functions, in messages
 and in entries, so that the verdict is the same on every machine and every time."""
 
-import random
 from collections.abc import Callable
 
 import trio
 import trio.testing
 
 from sorrelsill import constants
-from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.http import Client, MaySend, NoAnswerError, always
-from sorrelsill.jobs import JobSpec, TaskSet, parse_spec
-from sorrelsill.placement import Placer
-from sorrelsill.settings import Objective, Team
-from sorrelsill.workers import ClusterState, Pusher, Report
-from sorrelsill.workers.messages import TaskReport
-from tests.simulation import count_calls, job
+from sorrelsill.workers import Pusher
+from tests.simulation import LOSS_S, OVERDUE_S, VALIDITY_S, LeaderInMemory, array_job, count_calls
 
 MACHINES = 930  # the largest fleet of the site files and half as many again
-KIND = MachineType("std", 16.0, 0.0, 64.0, 40.0, 0.3, 1.0, 0.4, 30.0, ("a", "b"))
-TERM, W, VALID, OVERDUE = 7, 14.5, 3.4, 4.2
-TEAMS = [Team("red", cpus_max=600.0), Team("blue")]
-
-
-def work(job_id: str, **fields: object) -> JobSpec:
-    return parse_spec(job(job_id, **{"vcpus": 1.0, "memoryGb": 3.0, "reclaimable": True, **fields}))
-
-
-class Fleet:
-    """A ledger with workers that do what they are told; images are there at once and no message is lost."""
-
-    def __init__(self, machines: int, roster: bool = False) -> None:
-        self.now = 0.0
-        self.cluster = ClusterState(TERM, 0.0, Catalog({"std": KIND}), W, VALID, OVERDUE)
-        self.names = [f"m-{n:06d}" for n in range(machines)]
-        self.sequence_number = dict.fromkeys(self.names, 0)
-        self.tasks: dict[str, dict[tuple[str, int], str]] = {n: {} for n in self.names}
-        self.placer = Placer(TEAMS, [Objective("finished", "w", 60.0)], random.Random(1), constants.SAMPLE, True)
-        if roster:
-            entries = [(n, {"f": "std", "a": self.addr(n), "z": self.zone(n), "s": self.spot(n)}) for n in self.names]
-            self.cluster.expect_machines(entries)
-
-    def zone(self, name: str) -> str:
-        return "ab"[self.names.index(name) % 2]
-
-    def spot(self, name: str) -> bool:
-        return self.names.index(name) % 3 == 0
-
-    def addr(self, name: str) -> str:
-        number = self.names.index(name)
-        return f"10.1.{number // 250}.{number % 250}:9000"
-
-    def report(self, name: str, epoch: int = TERM) -> None:
-        self.sequence_number[name] += 1
-        shards = [TaskReport(s, n, phase) for (s, n), phase in self.tasks[name].items()]
-        report = Report(
-            name,
-            1,
-            self.sequence_number[name],
-            "std",
-            self.zone(name),
-            self.addr(name),
-            self.spot(name),
-            epoch,
-            tasks=shards,
-        )
-        commands = self.cluster.on_report(report, self.now)
-        for order in commands or []:
-            if order["verb"] == "start":
-                self.tasks[name][order["shard"], order["tryNo"]] = "running"
-
-    def all_report(self, names: list[str] | None = None) -> None:
-        for name in names if names is not None else self.names:
-            self.report(name)
-            machine = self.cluster.machines[name]
-            if machine.synced and not machine.rostered:
-                machine.rostered = True
-                self.cluster.reindex(machine)
-
-    def add(self, spec: JobSpec, old: bool = False) -> None:
-        self.cluster.add_job(spec, TaskSet(spec.shards), 1, old, self.now, [])
-
-    def round(self) -> None:
-        self.cluster.expire_leases(self.now)
-        while not self.placer.round(self.cluster, self.now, lambda: self.now, 1.0):
-            pass
-
-    def fill(self, tasks_each: int) -> None:
-        """A hundred jobs that keep every machine busy."""
-        self.all_report()
-        self.all_report()
-        total = tasks_each * len(self.names)
-        for number in range(100 if total else 0):
-            self.add(work(f"run-{number}", shards=total // 100, owner="blue", bundle=f"img-{number % 14}"))
-        self.round()
-        self.all_report()
-        self.all_report()
 
 
 def test_a_regular_report_costs_the_same_in_a_small_and_in_a_large_fleet() -> None:
     def calls(machines: int) -> int:
-        fleet = Fleet(machines)
-        fleet.fill(8)
-        fleet.now += 1.0
-        name = max(fleet.names, key=lambda n: (len(fleet.tasks[n]) == 8, n))
-        return count_calls(lambda: fleet.report(name))
+        leader = LeaderInMemory(machines)
+        leader.fill(8)
+        leader.now += 1.0
+        name = max(leader.names, key=lambda n: (len(leader.tasks[n]) == 8, n))
+        return count_calls(lambda: leader.report(name))
 
     large = calls(MACHINES)
     assert large <= calls(MACHINES // 3) and large < 60
@@ -112,81 +28,83 @@
 
 def test_hundreds_of_machines_lost_at_once_are_given_up_in_stretches() -> None:
     """Thousands of tasks in one stretch would keep pings waiting."""
-    fleet = Fleet(MACHINES)
-    fleet.fill(16)
-    silent = fleet.names[:400]
-    lost_tasks = sum(len(fleet.tasks[n]) for n in silent)
+    leader = LeaderInMemory(MACHINES)
+    leader.fill(16)
+    silent = leader.names[:400]
+    lost_tasks = sum(len(leader.tasks[n]) for n in silent)
     assert lost_tasks > 6000
-    while fleet.now < W - 1:
-        fleet.now += 1.0
-        fleet.all_report(fleet.names[400:])
-        assert not fleet.cluster.expire_leases(fleet.now)
-    fleet.now += 2.0
+    while leader.now < LOSS_S - 1:
+        leader.now += 1.0
+        leader.all_report(leader.names[400:])
+        assert not leader.cluster.expire_leases(leader.now)
+    leader.now += 2.0
     most, lost = 0, 0
-    while batch := fleet.cluster.expire_leases(fleet.now):
+    while batch := leader.cluster.expire_leases(leader.now):
         lost += len(batch)
-        most = max(most, sum(len(fleet.tasks[h.name]) for h in batch))
+        most = max(most, sum(len(leader.tasks[h.name]) for h in batch))
     assert lost == 400 and most <= constants.EXPIRE_TASKS + 16
-    assert sum(j.waiting for j in fleet.cluster.jobs.values()) == lost_tasks
-    assert not any(fleet.cluster.machines[n].attempts or n in fleet.cluster.ready for n in silent)
+    assert sum(j.waiting for j in leader.cluster.jobs.values()) == lost_tasks
+    assert not any(leader.cluster.machines[n].attempts or n in leader.cluster.ready for n in silent)
 
 
 def test_overdue_machines_get_no_new_work_before_they_report_again() -> None:
     """Found by reasoning: what was bound to fifty machines that hung waited for a lease to be proved lost."""
-    fleet = Fleet(MACHINES)
-    fleet.fill(0)
-    fleet.now += OVERDUE + 0.5
-    healthy = fleet.names[50:]
-    fleet.all_report(healthy)
-    fleet.add(work("run-n", shards=350, owner="blue"))
-    fleet.round()
-    bound = fleet.cluster.jobs["run-n"].bound
-    assert len(bound) == 350 and not {a.machine.name for a in bound.values()} & set(fleet.names[:50])
-    fleet.all_report(fleet.names[:50])
-    assert len(fleet.cluster.ready) == MACHINES
+    leader = LeaderInMemory(MACHINES)
+    leader.fill(0)
+    leader.now += OVERDUE_S + 0.5
+    healthy = leader.names[50:]
+    leader.all_report(healthy)
+    leader.add(array_job("run-n", shards=350, owner="blue"))
+    leader.round()
+    bound = leader.cluster.jobs["run-n"].bound
+    assert len(bound) == 350 and not {a.machine.name for a in bound.values()} & set(leader.names[:50])
+    leader.all_report(leader.names[:50])
+    assert len(leader.cluster.ready) == MACHINES
 
 
 def test_machines_not_heard_yet_hold_back_only_what_may_run_on_them() -> None:
     """After a takeover with fifty silent machines, their whole size filled each small team's limit for a lease."""
-    fleet = Fleet(MACHINES, roster=True)
-    silent = [n for n in fleet.names if fleet.spot(n)][:50]
-    fleet.add(work("run-old", shards=40, owner="red"), old=True)
-    fleet.add(work("run-ordinary", shards=40, owner="red", reclaimable=False), old=True)
-    fleet.cluster.expect_ended_jobs([("red", 20.0, 0.0)])
-    heard = [n for n in fleet.names if n not in silent]
-    fleet.all_report(heard)
-    fleet.all_report(heard)
-    fleet.add(work("run-new", shards=700, owner="red"))
-    fleet.round()
-    jobs = fleet.cluster.jobs
+    leader = LeaderInMemory(MACHINES, roster=True)
+    silent = [n for n in leader.names if leader.spot(n)][:50]
+    leader.add(array_job("run-old", shards=40, owner="red"), old=True)
+    leader.add(array_job("run-ordinary", shards=40, owner="red", reclaimable=False), old=True)
+    leader.cluster.expect_ended_jobs([("red", 20.0, 0.0)])
+    heard = [n for n in leader.names if n not in silent]
+    leader.all_report(heard)
+    leader.all_report(heard)
+    leader.add(array_job("run-new", shards=700, owner="red"))
+    leader.round()
+    jobs = leader.cluster.jobs
     assert not jobs["run-old"].bound, "its tasks may be running there"
     assert len(jobs["run-ordinary"].bound) == 40, "a spot machine can't hold them"
     assert len(jobs["run-new"].bound) == 600 - 40 - 40 - 20, "all that may be running counts toward the limit"
-    fleet.cluster.expect_ended_jobs(None)
-    assert fleet.cluster.unaccounted("red") == (50 * 16.0, 0.0), "and the whole machines if that can't be told"
+    leader.cluster.expect_ended_jobs(None)
+    assert leader.cluster.unaccounted("red") == (50 * 16.0, 0.0), "and the whole machines if that can't be told"
 
 
 def test_a_job_that_ends_unseen_still_counts_toward_its_teams_limit() -> None:
-    fleet = Fleet(60, roster=True)
-    fleet.add(work("run-old", shards=200, owner="red"), old=True)
-    fleet.cluster.expect_ended_jobs([])
-    assert fleet.cluster.unaccounted("red") == (200.0, 0.0)
-    fleet.cluster.end_job("run-old")
-    assert fleet.cluster.unaccounted("red") == (200.0, 0.0) and fleet.cluster.unaccounted("blue") == (0.0, 0.0)
-    fleet.now = W + VALID + 1
-    fleet.cluster.expire_leases(fleet.now)
-    assert not fleet.cluster.unconfirmed and fleet.cluster.unaccounted("red") == (0.0, 0.0)
+    leader = LeaderInMemory(60, roster=True)
+    leader.add(array_job("run-old", shards=200, owner="red"), old=True)
+    leader.cluster.expect_ended_jobs([])
+    assert leader.cluster.unaccounted("red") == (200.0, 0.0)
+    leader.cluster.end_job("run-old")
+    assert leader.cluster.unaccounted("red") == (200.0, 0.0) and leader.cluster.unaccounted("blue") == (0.0, 0.0)
+    leader.now = LOSS_S + VALIDITY_S + 1
+    leader.cluster.expire_leases(leader.now)
+    assert not leader.cluster.unconfirmed and leader.cluster.unaccounted("red") == (0.0, 0.0)
 
 
 def test_a_damaged_or_older_roster_entry_holds_back_whatever_may_run_there() -> None:
-    fleet = Fleet(60)
+    leader = LeaderInMemory(60)
     for number, entry in enumerate(({"f": "std", "a": "10.1.9.9:9000"}, None, {"f": 7, "z": 7, "s": 7})):
-        fleet.cluster.expect_machines([(f"m-old-{number}", entry)])
-        fleet.add(work(f"run-{number}", shards=10, owner="red", flavours=["std"], region="a", reclaimable=False), True)
-        assert not fleet.cluster.settled(fleet.cluster.jobs[f"run-{number}"])
-    assert fleet.cluster.unaccounted("red")[0] > 1000, "of a type that is not known the size is not known either"
-    fleet.cluster.expect_ended_jobs([])
-    assert fleet.cluster.unaccounted("red") == (30.0, 0.0)
+        leader.cluster.expect_machines([(f"m-old-{number}", entry)])
+        leader.add(
+            array_job(f"run-{number}", shards=10, owner="red", flavours=["std"], region="a", reclaimable=False), True
+        )
+        assert not leader.cluster.settled(leader.cluster.jobs[f"run-{number}"])
+    assert leader.cluster.unaccounted("red")[0] > 1000, "of a type that is not known the size is not known either"
+    leader.cluster.expect_ended_jobs([])
+    assert leader.cluster.unaccounted("red") == (30.0, 0.0)
 
 
 class _Silent(Client):
@@ -211,12 +129,12 @@
         return made
 
     async def main() -> None:
-        fleet = Fleet(300, roster=True)
+        leader = LeaderInMemory(300, roster=True)
         pusher = Pusher(client, lambda: True, lambda: True, 400)
         async with trio.open_nursery() as nursery:
             for _ in range(600):
-                for name, addr in fleet.cluster.unconfirmed_addresses.items():
-                    pusher.probe(fleet.cluster, name, addr, nursery)
+                for name, addr in leader.cluster.unconfirmed_addresses.items():
+                    pusher.probe(leader.cluster, name, addr, nursery)
                 assert len(pusher._busy) <= constants.PROBES_AT_ONCE < constants.PUSH_AT_ONCE
                 await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -3,6 +3,7 @@
 
 from tests.simulation.cloud import FakeCloud, machine_name
 from tests.simulation.counting import count_calls
+from tests.simulation.leader_in_memory import LOSS_S, OVERDUE_S, VALIDITY_S, LeaderInMemory, array_job
 from tests.simulation.network import FakeNet
 from tests.simulation.simulated_cluster import SimulatedCluster, job, run_scenario, service
 from tests.simulation.store import FakeStore
@@ -13,7 +14,12 @@
     "FakeNet",
     "FakeStore",
     "FakeWorker",
+    "LOSS_S",
+    "LeaderInMemory",
+    "OVERDUE_S",
     "SimulatedCluster",
+    "VALIDITY_S",
+    "array_job",
     "count_calls",
     "job",
     "machine_name",
--- /dev/null
+++ b/tests/simulation/leader_in_memory.py
@@ -0,0 +1,122 @@
+"""The leader's pure parts with workers that do what they are told: no network, no store, no message is lost."""
+
+from __future__ import annotations
+
+import random
+
+from sorrelsill import constants
+from sorrelsill.fleet import Catalog, MachineType
+from sorrelsill.jobs import JobSpec, TaskSet, parse_spec
+from sorrelsill.placement import Placer
+from sorrelsill.settings import Objective, Team
+from sorrelsill.workers import ClusterState, Report
+from sorrelsill.workers.messages import TaskReport
+from tests.simulation.simulated_cluster import job
+
+MACHINE_TYPE = MachineType("std", 16.0, 0.0, 64.0, 40.0, 0.3, 1.0, 0.4, 30.0, ("a", "b"))
+TERM, LOSS_S, VALIDITY_S, OVERDUE_S = 7, 14.5, 3.4, 4.2
+TEAMS = [Team("red", cpus_max=600.0), Team("blue")]
+_MACHINES_IN_A_SUBNET = 250
+
+
+def array_job(job_id: str, **fields: object) -> JobSpec:
+    """A job of one-CPU tasks that may use any machine."""
+    return parse_spec(job(job_id, **{"vcpus": 1.0, "memoryGb": 3.0, "reclaimable": True, **fields}))
+
+
+class LeaderInMemory:
+    """A leader's cluster state and placer, with workers whose images are there at once."""
+
+    def __init__(self, machines: int, roster: bool = False, teams: list[Team] | None = None) -> None:
+        self.now = 0.0
+        self.cluster = ClusterState(TERM, 0.0, Catalog({"std": MACHINE_TYPE}), LOSS_S, VALIDITY_S, OVERDUE_S)
+        self.names = [f"m-{number:06d}" for number in range(machines)]
+        self._numbers = {name: number for number, name in enumerate(self.names)}
+        self.sequence_number = dict.fromkeys(self.names, 0)
+        self.tasks: dict[str, dict[tuple[str, int], str]] = {name: {} for name in self.names}
+        objectives = [Objective("finished", "w", 60.0)]
+        self.placer = Placer(teams or TEAMS, objectives, random.Random(1), constants.SAMPLE, True)
+        if roster:
+            self.cluster.expect_machines([(name, self._roster_entry(name)) for name in self.names])
+
+    def _roster_entry(self, name: str) -> dict[str, object]:
+        return {"f": "std", "a": self.address(name), "z": self.zone(name), "s": self.spot(name)}
+
+    def zone(self, name: str) -> str:
+        return "ab"[self._numbers[name] % 2]
+
+    def spot(self, name: str) -> bool:
+        return self._numbers[name] % 3 == 0
+
+    def address(self, name: str) -> str:
+        subnet, host = divmod(self._numbers[name], _MACHINES_IN_A_SUBNET)
+        return f"10.1.{subnet}.{host}:9000"
+
+    def next_report(self, name: str, token: int = TERM) -> Report:
+        """What the machine says next."""
+        self.sequence_number[name] += 1
+        tasks = [
+            TaskReport(task_id, attempt_number, phase, "done" if phase == "exited" else None)
+            for (task_id, attempt_number), phase in self.tasks[name].items()
+        ]
+        return Report(
+            name,
+            1,
+            self.sequence_number[name],
+            "std",
+            self.zone(name),
+            self.address(name),
+            self.spot(name),
+            token,
+            tasks=tasks,
+        )
+
+    def obey(self, name: str, commands: list[dict[str, object]]) -> None:
+        """The worker carries the commands out at once."""
+        tasks = self.tasks[name]
+        for command in commands:
+            key = str(command["shard"]), int(str(command["tryNo"]))
+            if command["verb"] == "start":
+                tasks.setdefault(key, "running")
+            elif command["verb"] == "halt" and tasks.get(key) == "running":
+                del tasks[key]
+            elif command["verb"] == "clear":
+                tasks.pop(key, None)
+
+    def report(self, name: str, token: int = TERM) -> None:
+        """A machine reports and carries out the answer."""
+        self.obey(name, self.cluster.on_report(self.next_report(name, token), self.now) or [])
+
+    def write_roster(self) -> None:
+        """The registry entries of all machines that wait for one are committed."""
+        for machine in list(self.cluster.to_roster.values()):
+            machine.rostered = True
+            self.cluster.reindex(machine)
+        self.cluster.to_roster.clear()
+
+    def all_report(self, names: list[str] | None = None) -> None:
+        """All of these machines report, and are registered."""
+        for name in names if names is not None else self.names:
+            self.report(name)
+        self.write_roster()
+
+    def add(self, spec: JobSpec, old: bool = False) -> None:
+        """A job is accepted."""
+        self.cluster.add_job(spec, TaskSet(spec.shards), 1, old, self.now, [])
+
+    def round(self) -> None:
+        """Look for losses and place until all jobs were seen."""
+        self.cluster.expire_leases(self.now)
+        while not self.placer.round(self.cluster, self.now, lambda: self.now, 1.0):
+            pass
+
+    def fill(self, tasks_each: int) -> None:
+        """A hundred jobs that keep every machine busy."""
+        self.all_report()
+        self.all_report()
+        total = tasks_each * len(self.names)
+        for number in range(100 if total else 0):
+            self.add(array_job(f"run-{number}", shards=total // 100, owner="blue", bundle=f"img-{number % 14}"))
+        self.round()
+        self.all_report()
+        self.all_report()
