Cut the placer into parts: aims, order, limits, candidates, reservations, preemption

Need: placement/engine.py had 680 lines with six jobs in one class; bare tuples named victims, reservations and the round.

Each part is a module that can be read alone; the tuples are typed records.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -120,7 +120,7 @@
 ZONE_WEIGHT: Final = 1.0  # score; evenness of a job over the zones against a machine left over
 ORDER_EVERY_S: Final = 0.25  # s; shares of the teams' guarantees are worked out anew this often, or for a new job
 PREEMPT_SAMPLE: Final = 48  # machines looked at for the cheapest room to be made
-BARREN_S: Final = 0.5  # s; after a look for room in vain the same kind of work does not look again for this long
+FRUITLESS_S: Final = 0.5  # s; after a look for room in vain the same kind of work does not look again for this long
 AGED_S: Final = 75.0  # s; a job none of whose tasks ran for this long goes before all but production; the users
 #                       allow four minutes to begin, and some jobs may be in that state together
 AGED_HOLD_S: Final = 30.0  # s; a machine is kept filling up for such a job this long
--- /dev/null
+++ b/sorrelsill/placement/group_room.py
@@ -0,0 +1,51 @@
+"""Room that is kept for groups that should start within seconds, where money counts: other work that has no higher
+rank leaves it free. Where time counts there is headroom for all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sorrelsill.placement.order import aged_out
+
+if TYPE_CHECKING:
+    from sorrelsill.jobs import JobSpec
+    from sorrelsill.placement.aims import Aims
+    from sorrelsill.workers import ClusterState, Job, Machine
+
+_PRODUCTION = 0  # rank
+
+
+class GroupRoom:
+    """CPUs kept free on ordinary machines of one zone."""
+
+    def __init__(self, aims: Aims, hurried: bool) -> None:
+        self._aims = aims
+        self._hurried = hurried  # time counts, not money
+        self._kept_cpus = 0.0
+        self._zone = ""
+        self._free: dict[str, float] = {}  # CPUs free on ordinary machines, by zone
+
+    def find(self, cluster: ClusterState) -> None:
+        """Work out anew how much is kept, and in which zone."""
+        self._kept_cpus = 0.0 if self._hurried else cluster.group_spare(self._aims.start_within_s)
+        self._free = cluster.ordinary_room() if self._kept_cpus else {}
+        self._zone = max(sorted(self._free), key=lambda zone: self._free[zone], default="")
+
+    def use(self, spec: JobSpec, machine: Machine) -> None:
+        """A task was bound to the machine."""
+        if not machine.spot and machine.zone in self._free:
+            self._free[machine.zone] -= spec.cpus
+
+    def leaves(self, job: Job, machine: Machine, now: float) -> bool:
+        """Whether a task may go there without taking that room. What has waited too long may take it, or an array
+        could wait for ever where the cloud has no more machines to give."""
+        spec = job.spec
+        return (
+            not self._kept_cpus
+            or machine.spot
+            or spec.rank == _PRODUCTION
+            or spec.whole
+            or machine.zone != self._zone
+            or self._free[machine.zone] - spec.cpus >= self._kept_cpus
+            or aged_out(job, now)
+        )
--- /dev/null
+++ b/sorrelsill/placement/order.py
@@ -0,0 +1,36 @@
+"""Which job is served first: production, then what nothing of which ran for too long, then what lies within its team's
+guarantee, then by rank; inside these by marks missed, then the least remaining work. Pure: time is given."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sorrelsill import constants
+from sorrelsill.placement.aims import Aims
+from sorrelsill.workers import Job
+
+
+class Precedence(NamedTuple):
+    """Compared field by field; lower goes first."""
+
+    below_production: bool
+    not_aged: bool
+    outside_guarantee: bool
+    rank: int
+    missed_marks: int
+    work_left: float  # CPU seconds
+    next_mark: float
+
+
+def precedence(job: Job, aims: Aims, guaranteed: bool, now: float) -> Precedence:
+    """Where a waiting job stands in the order."""
+    spec = job.spec
+    mark = aims.next_mark(job, now)
+    # The least work first: by their marks alone, in a burst all jobs share what room there is and all miss.
+    work = 0.0 if spec.endless else (spec.shards - job.done.count) * spec.cpus * spec.expected_s
+    return Precedence(spec.rank > 0, not aged_out(job, now), not guaranteed, spec.rank, mark.missed, work, mark.at)
+
+
+def aged_out(job: Job, now: float) -> bool:
+    """Nothing of it has run for so long that the order of jobs must not keep it waiting any more."""
+    return not job.bound and now - job.served_at > constants.AGED_S
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -63,6 +63,14 @@
             and self.cap_gpus - self.gpus + EPSILON >= spec.gpus
         )
 
+    def large_enough_for(self, spec: JobSpec) -> bool:
+        """Whether a task would fit if the machine were empty."""
+        return (
+            self.cap_cpus + EPSILON >= spec.cpus
+            and self.cap_memory + EPSILON >= spec.memory
+            and self.cap_gpus + EPSILON >= spec.gpus
+        )
+
     def usable(self) -> bool:
         return (
             self.synced
