--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -113,12 +113,12 @@
 # --- placement --------------------------------------------------------------------------------------
 TICK_S: Final = 0.03  # s; least time between two rounds of placing
 ROUND_BUDGET_S: Final = 0.03  # s; time a round of placing may take; the next one goes on from there
+DRAWS_BEFORE_LISTING: Final = 3  # draws; in vain, before all machines that may fit are listed and sifted
 SAMPLE: Final = 24  # machines looked at per task; best fit among these
 FETCH_WEIGHT: Final = 4.0  # score; a missing image against the whole of a machine left over
 ORDINARY_WEIGHT: Final = 0.5  # score; the wrong kind of machine, spot or ordinary, for work that may use both
 SPREAD_WEIGHT: Final = 1.0  # score; another replica of a prompt service there against a machine left over
 ZONE_WEIGHT: Final = 1.0  # score; evenness of a job over the zones against a machine left over
-ORDER_EVERY_S: Final = 0.25  # s; shares of the teams' guarantees are worked out anew this often, or for a new job
 PREEMPT_SAMPLE: Final = 48  # machines looked at for the cheapest room to be made
 FRUITLESS_S: Final = 0.5  # s; after a look for room in vain the same kind of work does not look again for this long
 AGED_S: Final = 75.0  # s; a job none of whose tasks ran for this long goes before all but production; the users
@@ -134,6 +134,9 @@
 GROUP_HOLD_SHARE: Final = 0.1  # ratio; of the machines, kept for groups together
 CLAIM_S: Final = 5.0  # s; room that was made is awaited this long before more is made
 
+AMOUNT_TOLERANCE: Final = 1e-6  # CPUs, GPUs or GB; amounts that differ by less are the same
+ROOM_CLASSES: Final = 65  # classes of machines by whole free CPUs, 0 to 63; all with more are in the last one
+
 # --- fleet ------------------------------------------------------------------------------------------
 CLOUD_SHARE: Final = 0.8  # ratio; of the cloud's rate that the leader plans to use
 CLOUD_TIMEOUT_S: Final = 5.0  # s; for an answer of the cloud
--- a/sorrelsill/fleet/consolidate.py
+++ b/sorrelsill/fleet/consolidate.py
@@ -106,7 +106,7 @@
 ) -> list[Machine]:
     """Machines whose services fit on others that hold their images, dearest for what they carry first.
     Room for one more service stays ready in every zone, or a machine would be rented again at once."""
-    usable = [h for h in machines if h.usable()]
+    usable = [h for h in machines if h.usable]
     found: list[tuple[float, Machine]] = []
     for machine in usable:
         tasks = [a for a in machine.attempts.values() if a.spec is not None]
--- a/sorrelsill/fleet/demand.py
+++ b/sorrelsill/fleet/demand.py
@@ -67,7 +67,7 @@
         if not kinds:
             return []
         used = free = 0.0
-        for machine in self._cluster.ready.values():
+        for machine in self._cluster.index.ready:
             used += machine.cpus
             free += machine.cap_cpus - machine.cpus
         kind = min(kinds, key=lambda f: f.cost(False) / max(f.cpus, 0.1))
@@ -79,7 +79,7 @@
         kept = 0.0 if self._hurried else self._cluster.group_spare(self._prompt)
         if not kept:
             return {}, 0.0
-        free = dict.fromkeys(self._cluster.catalog.zones, 0.0) | self._cluster.ordinary_room()
+        free = dict.fromkeys(self._cluster.catalog.zones, 0.0) | self._cluster.index.free.ordinary_cpus()
         for p in self._counted_on():
             kind = self._cluster.catalog.machine_types.get(p.machine_type)
             if kind is not None and not p.spot:
@@ -107,7 +107,7 @@
     def spare_room(self, spec: JobSpec) -> dict[str, int]:
         """Tasks of this kind that could start at once, by zone: in free room or in place of lesser work."""
         room: dict[str, int] = {z: 0 for z in self._cluster.catalog.zones if spec.zone in (None, z)}
-        for machine in self._cluster.ready.values():
+        for machine in self._cluster.index.ready:
             if machine.allows(spec):
                 room[machine.zone] = room.get(machine.zone, 0) + self.spare_on(machine, spec)
         for p in self._counted_on():
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -243,7 +243,6 @@
 
     def _start_return(self, machine: Machine, why: str) -> None:
         machine.returning = True
-        self._cluster.reindex(machine)
         self._give_back[machine.name] = why
 
     async def _return(self) -> None:
@@ -254,12 +253,10 @@
             if machine is not None and (machine.live or machine.unknown):
                 # It came back to life, with work: it stays.
                 machine.returning = False
-                self._cluster.reindex(machine)
                 del self._give_back[name]
                 continue
             if machine is not None:
                 machine.returning = True
-                self._cluster.reindex(machine)
             names.append(name)
         names = names[: constants.RETURN_MAX]
         if not names:
@@ -283,7 +280,7 @@
         cluster = self._cluster
         if self._hurried or self._open or now - self._drained_at < constants.DRAIN_EVERY_S:
             return
-        few = int(constants.DRAIN_SHARE * len(cluster.ready))
+        few = int(constants.DRAIN_SHARE * len(cluster.index.ready))
         if len(self.pending) > few or cluster.unconfirmed:
             return
         if any(u.count for u in self._unplaced()) or any(h.draining for h in cluster.machines.values()):
@@ -291,11 +288,10 @@
         self._drained_at = now
         spare = self._demand.spare_spec()
         zones = sorted(self._demand.spare_room(spare)) if spare is not None else []
-        machines = machines_to_drain(cluster.ready.values(), cluster.jobs, now, self._price, spare, zones, max(1, few))
+        machines = machines_to_drain(cluster.index.ready, cluster.jobs, now, self._price, spare, zones, max(1, few))
         for machine in machines:
             log.info("draining %s: its services fit elsewhere", machine.name)
             machine.draining = True
-            cluster.reindex(machine)
             for attempt in list(machine.attempts.values()):
                 cluster.stop(attempt, "moved to a fuller machine", hurry=True)
         if machines:
--- a/sorrelsill/fleet/test_plan.py
+++ b/sorrelsill/fleet/test_plan.py
@@ -32,7 +32,6 @@
         machine = cluster.machine(f"m{number}", "c8", "ab"[number % 2], False, 0.0)
         machine.synced = machine.reachable = machine.rostered = True
         machine.images["img"] = 0.5
-        cluster.reindex(machine)
         machines.append(machine)
         fields = {"shape": "standing", "shards": replicas, "rank": "prod", "vcpus": 1.0, "memoryGb": 1.0}
         spec = parse_spec(job(f"run-{number}", **fields))
--- a/sorrelsill/jobs/record_writer.py
+++ b/sorrelsill/jobs/record_writer.py
@@ -190,7 +190,6 @@
             cluster.to_roster.pop(machine.name, None)
             if machine.synced and machine.session == session:
                 machine.rostered = True
-                cluster.reindex(machine)
                 cluster.wake_placing = True
             elif machine.synced:
                 cluster.to_roster[machine.name] = machine
--- a/sorrelsill/placement/candidates.py
+++ b/sorrelsill/placement/candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from sorrelsill import constants
@@ -17,17 +18,77 @@
 _FETCH_SHARED = 0.5  # ratio; of the weight of a missing image, where another task's fetch brings it
 
 
+class _Draw:
+    """Machines drawn at random until one fits. What did not fit is not drawn again; after some draws in vain the rest
+    is listed and sifted, so that a machine that fits is always found."""
+
+    __slots__ = ("_image", "_machines", "_rejected", "_rest", "_vain")
+
+    def __init__(self, machines: Sequence[Machine], image: str | None = None) -> None:
+        self._machines = machines  # as they are at any time
+        self._image = image  # only machines that hold it
+        self._rejected: set[str] = set()
+        self._rest: list[Machine] | None = None
+        self._vain = 0
+
+    def fitting(self, rng: random.Random, sample: int, fits: Callable[[Machine], bool]) -> list[Machine]:
+        """Those that fit of a sample in which one does at least; none if no machine does."""
+        while self._rest is None:
+            found = self._draw(rng, sample, fits)
+            if found:
+                return found
+            self._vain += 1
+            if self._vain >= constants.DRAWS_BEFORE_LISTING or len(self._rejected) >= len(self._machines):
+                self._rest = [machine for machine in self._machines if machine.name not in self._rejected]
+        while self._rest:
+            found = self._sift(self._rest, rng, sample, fits)
+            if found:
+                return found
+        return []
+
+    def _draw(self, rng: random.Random, sample: int, fits: Callable[[Machine], bool]) -> list[Machine]:
+        found = []
+        count = len(self._machines)
+        for at in rng.sample(range(count), min(sample, count)):
+            machine = self._machines[at]
+            if machine.name in self._rejected:
+                continue
+            if self._holds_image(machine) and fits(machine):
+                found.append(machine)
+            else:
+                self._rejected.add(machine.name)
+        return found
+
+    def _sift(
+        self, rest: list[Machine], rng: random.Random, sample: int, fits: Callable[[Machine], bool]
+    ) -> list[Machine]:
+        """Those of a sample that fit; the others of the sample leave the rest."""
+        found = []
+        for at in sorted(rng.sample(range(len(rest)), min(sample, len(rest))), reverse=True):
+            machine = rest[at]
+            if self._holds_image(machine) and fits(machine):
+                found.append(machine)
+            else:
+                rest[at] = rest[-1]
+                rest.pop()
+        return found
+
+    def _holds_image(self, machine: Machine) -> bool:
+        return self._image is None or self._image in machine.images
+
+
 class CandidatePool:
-    """Machines that may take a job's tasks, sifted as they are looked at: those with its image before the others."""
+    """Machines that may take a job's tasks, those with its image before the others; the fleet is neither walked nor
+    copied as long as a sample finds room."""
 
-    __slots__ = ("current", "groups", "replicas")
+    __slots__ = ("current", "draws", "replicas")
 
     def __init__(self, cluster: ClusterState, spec: JobSpec) -> None:
-        # Nothing is asked of the machines here: with hundreds of them, those that are looked at are few.
-        self.groups = (
-            list(cluster.holders.get(spec.image, {}).values()),
-            list((cluster.free if spec.cpus > 0 else cluster.ready).values()),
-        )
+        roomy = cluster.index.with_room(spec)
+        holders = cluster.index.holders(spec.image)
+        # The smaller set is drawn from: of an image that all machines hold, most holders may be full.
+        warm = _Draw(holders) if len(holders) <= len(roomy) else _Draw(roomy, spec.image)
+        self.draws = (warm, _Draw(roomy))
         self.replicas: dict[str, int] | None = None  # machine -> replicas there, of a job that is to be spread out
         self.current: Machine | None = None  # the last one chosen; its image serves all tasks that still fit
 
@@ -61,11 +122,9 @@
         replicas = pool.replicas
         if replicas is None and pool.current is not None and self.may_take(job, pool.current, now):
             return pool.current
-        for group in pool.groups:
-            while group:
-                fitting = self._sift(job, group, now)
-                if not fitting:
-                    continue
+        for draw in pool.draws:
+            fitting = draw.fitting(self._rng, self._sample, lambda machine: self.may_take(job, machine, now))
+            if fitting:
                 best = min(fitting, key=lambda machine: self._score(job, machine, replicas))
                 if replicas is not None:
                     replicas[best.name] = replicas.get(best.name, 0) + 1
@@ -73,22 +132,10 @@
                 return best
         return None
 
-    def _sift(self, job: Job, group: list[Machine], now: float) -> list[Machine]:
-        """Those of a sample that may take a task; the others of the sample leave the group."""
-        picked = self._rng.sample(range(len(group)), min(self._sample, len(group)))
-        fitting = []
-        for at in sorted(picked, reverse=True):
-            if self.may_take(job, group[at], now):
-                fitting.append(group[at])
-            else:
-                group[at] = group[-1]
-                group.pop()
-        return fitting
-
     def may_take(self, job: Job, machine: Machine, now: float) -> bool:
         """Whether a task of the job may start on the machine now."""
         spec = job.spec
-        if not machine.room_for(spec) or not machine.allows(spec) or not machine.usable():
+        if not machine.room_for(spec) or not machine.allows(spec) or not machine.usable:
             return False
         if spec.one_zone and any(n > 0 and zone != machine.zone for zone, n in job.zones.items()):
             return False
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -7,6 +7,7 @@
 import enum
 import logging
 import random
+from collections import deque
 from collections.abc import Callable
 
 from sorrelsill import constants
@@ -14,8 +15,10 @@
 from sorrelsill.placement.aims import Aims
 from sorrelsill.placement.candidates import CandidatePool, MachineChooser
 from sorrelsill.placement.group_room import GroupRoom
-from sorrelsill.placement.guarantees import find_guaranteed
-from sorrelsill.placement.order import aged_out, precedence
+from sorrelsill.placement.guarantees import Guarantees
+from sorrelsill.placement.guests import Guests
+from sorrelsill.placement.job_queue import JobQueue
+from sorrelsill.placement.order import aged_out
 from sorrelsill.placement.preemption import Preemption
 from sorrelsill.placement.reservations import Reservations
 from sorrelsill.placement.round import Round, Unplaced, kind_of_room
@@ -49,17 +52,24 @@
         self._reservations = Reservations()
         self._group_room = GroupRoom(self._aims, hurried)
         self._chooser = MachineChooser(self._aims, self._reservations, self._group_room, rng, sample, hurried)
-        self.guaranteed: set[str] = set()
-        self._preemption = Preemption(self._teams, self._aims, self._reservations, self.guaranteed, rng)
-        self._ordered: tuple[float, int] = (float("-inf"), -1)  # when, and for which jobs, guarantees were shared out
-        self._left: list[str] = []  # jobs that the last round did not get to
+        self._guarantees = Guarantees(self._teams)
+        self._queue = JobQueue(self._aims, self._guarantees.inside)
+        self._guests = Guests(self._teams)
+        self._preemption = Preemption(
+            self._teams, self._aims, self._reservations, self._guarantees.inside, self._guests, rng
+        )
+        self._cluster: ClusterState | None = None  # the one that the queue follows
+        self._left: deque[str] = deque()  # jobs that the last round did not get to
         self._warm_until: dict[str, float] = {}  # job -> until when room on machines with its image is awaited
         self.unplaced: dict[str, Unplaced] = {}
 
     def reset(self) -> None:
         """A new term begins."""
+        self._cluster = None
         self._left.clear()
-        self._ordered = (float("-inf"), -1)
+        self._queue.reset()
+        self._guarantees.reset()
+        self._guests.reset()
         self._warm_until.clear()
         self._reservations.reset()
         self.unplaced.clear()
@@ -72,7 +82,7 @@
         if not self._left:
             self._begin(cluster, now)
         self._group_room.find(cluster)
-        placing = Round(cluster, now, lambda: clock() - begun > budget, list(cluster.ready.values()))
+        placing = Round(cluster, now, lambda: clock() - begun > budget, cluster.index.ready)
         while self._left:
             job = cluster.jobs.get(self._left[0])
             if job is not None and job.waiting > 0:
@@ -80,27 +90,24 @@
                     return False
             elif job is not None:
                 self.unplaced.pop(job.spec.job_id, None)
-            self._left.pop(0)
+            self._left.popleft()
         return True
 
     def _begin(self, cluster: ClusterState, now: float) -> None:
         """All waiting jobs are looked at anew, in their order."""
-        if now - self._ordered[0] >= constants.ORDER_EVERY_S or self._ordered[1] != cluster.version:
-            self.guaranteed.clear()
-            self.guaranteed.update(find_guaranteed(cluster, self._teams))
-            self._ordered = (now, cluster.version)
-        self._left = self._order(cluster, now)
-        self._preemption.guests = {
-            j.spec.team for j in cluster.jobs.values() if j.bound and self._teams.is_guest(j.spec.team)
-        }
-        self.unplaced = {job_id: u for job_id, u in self.unplaced.items() if job_id in cluster.jobs}
+        changed = cluster.take_changed_jobs()
+        if self._cluster is not cluster:
+            self._cluster = cluster
+            changed = list(cluster.jobs)
+        moved = self._guarantees.update(cluster, changed)
+        self._guests.update(cluster, changed)
+        self._queue.update(cluster, [*changed, *sorted(moved)], now)
+        self._left.extend(self._queue.in_order())
+        for job_id in changed:
+            if job_id not in cluster.jobs:
+                self.unplaced.pop(job_id, None)
+                self._warm_until.pop(job_id, None)
         self._reservations.expire(cluster, now)
-        self._warm_until = {job_id: t for job_id, t in self._warm_until.items() if job_id in cluster.jobs}
-
-    def _order(self, cluster: ClusterState, now: float) -> list[str]:
-        waiting = [job for job in cluster.jobs.values() if job.waiting > 0]
-        waiting.sort(key=lambda job: precedence(job, self._aims, job.spec.job_id in self.guaranteed, now))
-        return [job.spec.job_id for job in waiting]
 
     def _place_job(self, placing: Round, job: Job) -> bool:
         """False if the round's time is used up before the job was seen whole."""
@@ -202,7 +209,7 @@
         found on a measured day, room that had been freed elsewhere was refused again and again."""
         job_id, now = job.spec.job_id, placing.now
         if job_id not in self._warm_until:
-            warm = list(placing.cluster.holders.get(job.spec.image, {}).values())
+            warm = placing.cluster.index.holders(job.spec.image)
             made = self._preemption.make_room(placing, job, warm, constants.WARM_CLAIM_S) if warm else 0
             self._warm_until[job_id] = now + constants.WARM_CLAIM_S if made else now
         return now < self._warm_until[job_id]
@@ -224,7 +231,7 @@
         if kind in placing.full and not kept:
             self.unplaced[spec.job_id] = Unplaced(job, job.waiting, False, spec.zone)
             return
-        room = [m for m in (cluster.free if spec.cpus > 0 else cluster.ready).values() if self._may(job, m, now)]
+        room = [m for m in cluster.index.with_room(spec) if self._chooser.may_take(job, m, now)]
         zones = [zone for zone in cluster.catalog.zones if spec.zone in (None, zone)]
         seatings = groups.seat(spec, room, zones)
         if seatings and not seatings[0].short:
@@ -234,9 +241,6 @@
         job.note("waiting: the whole group does not fit at once")
         self._wait_for_group_room(placing, job, seatings)
 
-    def _may(self, job: Job, machine: Machine, now: float) -> bool:
-        return self._chooser.may_take(job, machine, now)
-
     def _bind_group(self, placing: Round, job: Job, seating: groups.Seating) -> None:
         cluster, spec = placing.cluster, job.spec
         attempt_number = cluster.next_attempt_number()
--- a/sorrelsill/placement/group_room.py
+++ b/sorrelsill/placement/group_room.py
@@ -28,7 +28,7 @@
     def find(self, cluster: ClusterState) -> None:
         """Work out anew how much is kept, and in which zone."""
         self._kept_cpus = 0.0 if self._hurried else cluster.group_spare(self._aims.start_within_s)
-        self._free = cluster.ordinary_room() if self._kept_cpus else {}
+        self._free = cluster.index.free.ordinary_cpus() if self._kept_cpus else {}
         self._zone = max(sorted(self._free), key=lambda zone: self._free[zone], default="")
 
     def use(self, spec: JobSpec, machine: Machine) -> None:
--- /dev/null
+++ b/sorrelsill/placement/job_queue.py
@@ -0,0 +1,75 @@
+"""The waiting jobs in the order in which they are served, kept up to date by what changes. Pure: time is given.
+
+A job moves when it changes, when the border of its team's guarantee passes it, or when a moment comes at which its
+place depends on the time: a mark is missed, or nothing of it ran for too long."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from sortedcontainers import SortedList
+
+from sorrelsill import constants
+from sorrelsill.placement.aims import Aims
+from sorrelsill.placement.order import Precedence, precedence
+from sorrelsill.timers import Timers
+from sorrelsill.workers import ClusterState, Job
+
+_Place = tuple[Precedence, int, str]  # where a job stands, then the order of arrival, then its name
+
+
+class JobQueue:
+    """Live jobs with tasks that wait."""
+
+    def __init__(self, aims: Aims, guaranteed: set[str]) -> None:
+        self._aims = aims
+        self._guaranteed = guaranteed
+        self._sorted: SortedList[_Place] = SortedList()
+        self._places: dict[str, _Place] = {}  # by job
+        self._timers: Timers[str] = Timers()  # when the place of a job will change by itself
+
+    def reset(self) -> None:
+        """A new term begins."""
+        self._sorted.clear()
+        self._places.clear()
+        self._timers.clear()
+
+    def update(self, cluster: ClusterState, changed: Iterable[str], now: float) -> None:
+        """Take in jobs that came, changed or are over, and what the time has changed."""
+        for job_id in changed:
+            self._place(cluster.jobs.get(job_id), job_id, now)
+        due = []
+        while (moved := self._timers.pop_due(now)) is not None:
+            due.append(moved)
+        for job_id in due:
+            self._place(cluster.jobs.get(job_id), job_id, now)
+
+    def _place(self, job: Job | None, job_id: str, now: float) -> None:
+        former = self._places.get(job_id)
+        place: _Place | None = None
+        if job is not None and job.waiting > 0:
+            place = precedence(job, self._aims, job_id in self._guaranteed, now), job.order, job_id
+            self._set_timer(job, now)
+        if place == former:
+            return
+        if former is not None:
+            self._sorted.remove(former)
+            del self._places[job_id]
+        if place is not None:
+            self._sorted.add(place)
+            self._places[job_id] = place
+
+    def _set_timer(self, job: Job, now: float) -> None:
+        moments = [job.submitted + mark_s - job.spec.expected_s for mark_s in self._aims.marks_s(job)]
+        if not job.bound:
+            moments.append(job.served_at + constants.AGED_S)
+        coming = [moment for moment in moments if moment >= now]
+        if coming:
+            self._timers.set_if_earlier(job.spec.job_id, min(coming))
+
+    def in_order(self) -> list[str]:
+        """The waiting jobs, the one to be served first in front."""
+        return [job_id for _, _, job_id in self._sorted]
+
+    def __len__(self) -> int:
+        return len(self._places)
--- a/sorrelsill/placement/preemption.py
+++ b/sorrelsill/placement/preemption.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Hashable
+from collections.abc import Hashable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from sorrelsill.jobs import JobSpec
     from sorrelsill.placement.aims import Aims
+    from sorrelsill.placement.guests import Guests
     from sorrelsill.placement.reservations import Reservations
     from sorrelsill.placement.round import Round
     from sorrelsill.placement.team_limits import TeamLimits
@@ -38,14 +39,20 @@
     """Stops lesser work, and reserves the machine for the claimant until it is gone."""
 
     def __init__(
-        self, teams: TeamLimits, aims: Aims, reservations: Reservations, guaranteed: set[str], rng: random.Random
+        self,
+        teams: TeamLimits,
+        aims: Aims,
+        reservations: Reservations,
+        guaranteed: set[str],
+        guests: Guests,
+        rng: random.Random,
     ) -> None:
         self._teams = teams
         self._aims = aims
         self._reservations = reservations
         self._guaranteed = guaranteed  # jobs within their team's guarantee
+        self._guests = guests
         self._rng = rng
-        self.guests: set[str] = set()  # teams without a guarantee that have work on machines
 
     # --- who may stop whom ---
 
@@ -80,11 +87,11 @@
     # --- single tasks ---
 
     def make_room(
-        self, placing: Round, job: Job, machines: list[Machine], patience_s: float = constants.CLAIM_S
+        self, placing: Round, job: Job, machines: Sequence[Machine], patience_s: float = constants.CLAIM_S
     ) -> int:
         """Stop the least work that lets waiting tasks in; their room is awaited before more is stopped."""
         cluster, now, spec = placing.cluster, placing.now, job.spec
-        if not self._may_preempt(job) and not (self.guests - {spec.team} and self._presses(cluster, job, now)):
+        if not self._may_preempt(job) and not (self._guests.other_than(spec.team) and self._presses(cluster, job, now)):
             return 0
         wanted = min(job.waiting - self._reservations.claimed(spec.job_id, now), constants.PREEMPT_PER_ROUND)
         kind = self._kind(job)
@@ -104,14 +111,14 @@
         guaranteed = spec.job_id in self._guaranteed
         return spec.rank, spec.team, guaranteed, spec.cpus, spec.memory, spec.gpus, spec.spot
 
-    def _sample(self, job: Job, machines: list[Machine], now: float) -> list[Machine]:
+    def _sample(self, job: Job, machines: Sequence[Machine], now: float) -> list[Machine]:
         """Few of the machines where room may be made, by the dice; all are asked only if hardly any will do."""
         found: list[Machine] = []
         for few in (4 * constants.PREEMPT_SAMPLE, len(machines)):
             for machine in self._rng.sample(machines, min(few, len(machines))):
                 if (
                     machine.live
-                    and machine.usable()
+                    and machine.usable
                     and machine.allows(job.spec)
                     and not self._reservations.reserved(machine)
                     and job.avoid.get(machine.name, 0.0) <= now
@@ -194,9 +201,7 @@
         if self._reservations.searched_in_vain(kind, now):
             return False
         sample = self._rng.sample(machines, min(len(machines), constants.PREEMPT_SAMPLE * constants.GROUP_SAMPLES))
-        may = [
-            m for m in sample if m.live and m.usable() and m.allows(spec) and self._reservations.open_to(job, m, now)
-        ]
+        may = [m for m in sample if m.live and m.usable and m.allows(spec) and self._reservations.open_to(job, m, now)]
 
         def offer(machine: Machine, more: int) -> tuple[float, list[Attempt]] | None:
             found = self._victims(cluster, job, machine, now, groups.capacity(machine, spec) + more)
--- a/sorrelsill/placement/round.py
+++ b/sorrelsill/placement/round.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sorrelsill.jobs import JobSpec
-from sorrelsill.workers import ClusterState, Job, Machine
+from sorrelsill.workers import ClusterState, Job, MachineSet
 
 
 @dataclass(slots=True)
@@ -16,7 +16,7 @@
     cluster: ClusterState
     now: float
     late: Callable[[], bool]  # whether the round's time budget is used up
-    machines: list[Machine]  # those that may be given work
+    machines: MachineSet  # those that may be given work
     full: set[Hashable] = field(default_factory=set)  # kinds of work for which no machine has room
 
 
--- a/sorrelsill/placement/test_engine.py
+++ b/sorrelsill/placement/test_engine.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.jobs import TaskSet, parse_spec
 from sorrelsill.placement import Placer
@@ -18,7 +20,6 @@
     for name, zone, spot in machines:
         machine = cluster.machine(name, "c8", zone, spot, 0.0)
         machine.synced = machine.reachable = machine.rostered = True
-        cluster.reindex(machine)
     return cluster
 
 
@@ -68,7 +69,6 @@
 def test_a_machine_that_has_not_shown_that_it_hears_gets_no_work() -> None:
     cluster = ledger_with(("m1", "a", False))
     cluster.machines["m1"].reachable = False
-    cluster.reindex(cluster.machines["m1"])
     waiting = add(cluster, "run-a")
     placer = place(cluster)
     assert not waiting.bound and placer.unplaced["run-a"].count == 2
@@ -101,14 +101,44 @@
     work = add(cluster, "run-a", shards=4)
     place(cluster)
     full, other = at(work)[0].name, {"m1": "m2", "m2": "m1"}[at(work)[0].name]
-    assert set(cluster.ready) == {"m1", "m2"} and set(cluster.free) == {other}
-    cluster.machines[other].draining = True  # whoever forgets to say so ...
-    cluster.expire_leases(2.0)  # ... is made good at the next look
-    assert set(cluster.ready) == {full} and not cluster.free
-    cluster.machines[full].images["img"] = 0.5
-    cluster.holders["img"] = {full: cluster.machines[full]}
+    index = cluster.index
+    assert index.ready.names() == {"m1", "m2"} and index.free.names() == {other} and index.idle.names() == {other}
+    cluster.machines[other].draining = True  # nobody has to say so: the indices follow at once
+    assert index.ready.names() == {full} and not index.free.names()
+    index.hold_image(cluster.machines[full], work.spec)
+    assert index.holders("img").names() == {full}
     cluster.gone_for_certain(full, 3.0, "returned")
-    assert not cluster.ready and not cluster.free and not cluster.holders
+    assert not index.ready and not index.free and not index.holders("img") and index.idle.names() == {other}
+    cluster.machines[other].draining = False
+    assert index.ready.names() == index.free.names() == {other}
+
+
+@pytest.mark.parametrize("condition", ["synced", "reachable", "rostered"])
+def test_a_condition_that_fails_takes_the_machine_out_of_the_indices_at_once(condition: str) -> None:
+    cluster = ledger_with(("m1", "a", False))
+    setattr(cluster.machines["m1"], condition, False)
+    assert not cluster.index.ready and not cluster.index.free
+    setattr(cluster.machines["m1"], condition, True)
+    assert cluster.index.ready.names() == cluster.index.free.names() == {"m1"}
+
+
+@pytest.mark.parametrize("trouble", ["lost", "overdue", "draining", "returning", "faulty"])
+def test_a_trouble_takes_the_machine_out_of_the_indices_at_once(trouble: str) -> None:
+    cluster = ledger_with(("m1", "a", False))
+    setattr(cluster.machines["m1"], trouble, True)
+    assert not cluster.index.ready and not cluster.index.free
+    setattr(cluster.machines["m1"], trouble, False)
+    assert cluster.index.ready.names() == cluster.index.free.names() == {"m1"}
+
+
+def test_a_machine_that_is_to_be_taken_back_or_has_grown_is_indexed_anew() -> None:
+    cluster = ledger_with(("m1", "a", False), ("m2", "a", False))
+    cluster.machines["m1"].evict_at = 30.0
+    assert cluster.index.ready.names() == {"m2"}
+    spec = parse_spec(job("run-a", vcpus=12.0))
+    assert {m.name for m in cluster.index.with_room(spec)} == set()
+    cluster.set_catalog(Catalog({"c8": MachineType("c8", 16.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("a", "b"))}))
+    assert {m.name for m in cluster.index.with_room(spec)} == {"m2"}
 
 
 def test_a_round_costs_no_more_on_three_times_as_many_machines() -> None:
--- /dev/null
+++ b/sorrelsill/placement/test_job_queue.py
@@ -0,0 +1,137 @@
+"""The order of jobs and the shares of guarantees, kept up to date by changes, against both worked out anew."""
+
+import random
+
+from sorrelsill import constants
+from sorrelsill.fleet import Catalog, MachineType
+from sorrelsill.jobs import TaskSet, parse_spec
+from sorrelsill.placement.aims import Aims
+from sorrelsill.placement.guarantees import Guarantees
+from sorrelsill.placement.job_queue import JobQueue
+from sorrelsill.placement.order import precedence
+from sorrelsill.placement.team_limits import TeamLimits
+from sorrelsill.settings import Objective, Team
+from sorrelsill.workers import ClusterState
+from tests.simulation import count_calls, job
+
+TEAMS = TeamLimits([Team("red", cpus=30.0), Team("blue", cpus=12.5, gpus=2.0), Team("guests")])
+AIMS = Aims([Objective("finished", "w", 20.0), Objective("finished", "w", 40.0), Objective("deadline", "batch")])
+KIND = MachineType("c8", 1000.0, 100.0, 4000.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("a",))
+
+
+def cluster_with_a_machine() -> ClusterState:
+    cluster = ClusterState(1, 0.0, Catalog({"c8": KIND}), 1e9, 2.7)
+    cluster.machine("m1", "c8", "a", False, 0.0)
+    return cluster
+
+
+def guaranteed_anew(cluster: ClusterState) -> set[str]:
+    """All live jobs added up in the order of submission."""
+    used: dict[str, tuple[float, float]] = {}
+    inside = set()
+    for each in sorted(cluster.jobs.values(), key=lambda j: j.submitted):
+        spec, team = each.spec, TEAMS.get(each.spec.team)
+        if team is None:
+            continue
+        cpus, gpus = used.get(team.name, (0.0, 0.0))
+        used[team.name] = cpus + spec.cpus * spec.shards, gpus + spec.gpus * spec.shards
+        if used[team.name][0] <= team.cpus + 1e-6 and used[team.name][1] <= team.gpus + 1e-6:
+            inside.add(spec.job_id)
+    return inside
+
+
+def order_anew(cluster: ClusterState, inside: set[str], now: float) -> list[str]:
+    """All waiting jobs sorted."""
+    waiting = [each for each in cluster.jobs.values() if each.waiting > 0]
+    waiting.sort(key=lambda each: precedence(each, AIMS, each.spec.job_id in inside, now))
+    return [each.spec.job_id for each in waiting]
+
+
+class History:
+    """Random submissions, starts, ends and cancellations."""
+
+    def __init__(self, seed: int) -> None:
+        self.cluster = cluster_with_a_machine()
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.count = 0
+
+    def submit(self) -> None:
+        self.count += 1
+        fields = {
+            "owner": self.rng.choice(["red", "blue", "guests", "unknown"]),
+            "workload": self.rng.choice(["w", "batch", "other"]),
+            "rank": self.rng.choice(["prod", "high", "standard", "best_effort"]),
+            "shards": self.rng.randrange(1, 6),
+            "vcpus": self.rng.choice([0.1, 0.7, 2.0]),
+            "gpus": self.rng.choice([0.0, 0.0, 0.5]),
+            "expectedRunS": self.rng.choice([2.0, 15.0]),
+            "dueS": self.rng.choice([None, 25.0]),
+        }
+        spec = parse_spec(job(f"run-{self.count:04d}", **fields))
+        submitted = self.now - self.rng.choice([0.0, 3.0, 30.0])
+        self.cluster.add_job(spec, TaskSet(spec.shards), 1, False, submitted, [])
+
+    def step(self) -> None:
+        self.now += self.rng.choice([0.03, 0.5, 7.0])
+        if self.rng.random() < 0.6:
+            self.submit()
+        machine = self.cluster.machines["m1"]
+        for each in self.rng.sample(list(self.cluster.jobs.values()), min(3, len(self.cluster.jobs))):
+            index = each.next_task()
+            if index is not None and self.rng.random() < 0.5:
+                self.cluster.bind(each, index, machine, self.now)
+            elif each.bound:
+                attempt = self.rng.choice(list(each.bound.values()))
+                self.cluster.leave(attempt)
+                self.cluster.unbind(attempt, self.now)
+        if self.cluster.jobs and self.rng.random() < 0.4:
+            self.cluster.end_job(self.rng.choice(list(self.cluster.jobs)))
+
+
+def test_the_order_and_the_guarantees_are_those_worked_out_anew() -> None:
+    for seed in range(20):
+        history = History(seed)
+        guarantees = Guarantees(TEAMS)
+        queue = JobQueue(AIMS, guarantees.inside)
+        for _ in range(150):
+            history.step()
+            changed = history.cluster.take_changed_jobs()
+            moved = guarantees.update(history.cluster, changed)
+            queue.update(history.cluster, [*changed, *moved], history.now)
+            assert guarantees.inside == guaranteed_anew(history.cluster)
+            assert queue.in_order() == order_anew(history.cluster, guarantees.inside, history.now)
+
+
+def test_a_job_nothing_of_which_ran_for_too_long_moves_without_any_event() -> None:
+    history = History(1)
+    spec = parse_spec(job("run-old", rank="best_effort", workload="other"))
+    history.cluster.add_job(spec, TaskSet(spec.shards), 1, False, 0.0, [])
+    spec = parse_spec(job("run-new", rank="high", workload="other"))
+    history.cluster.add_job(spec, TaskSet(spec.shards), 1, False, 70.0, [])
+    queue = JobQueue(AIMS, set())
+    queue.update(history.cluster, history.cluster.take_changed_jobs(), 70.0)
+    assert queue.in_order() == ["run-new", "run-old"]
+    queue.update(history.cluster, [], constants.AGED_S + 0.1)
+    assert queue.in_order() == ["run-old", "run-new"]
+
+
+def test_one_job_more_costs_the_same_among_many_as_among_few() -> None:
+    def calls(jobs: int) -> int:
+        cluster = cluster_with_a_machine()
+        guarantees = Guarantees(TEAMS)
+        queue = JobQueue(AIMS, guarantees.inside)
+        for number in range(jobs):
+            spec = parse_spec(job(f"run-{number:05d}", owner="red"))
+            cluster.add_job(spec, TaskSet(spec.shards), 1, False, float(number), [])
+
+        def update() -> None:
+            changed = cluster.take_changed_jobs()
+            queue.update(cluster, [*changed, *guarantees.update(cluster, changed)], float(jobs))
+
+        update()
+        spec = parse_spec(job("run-one-more", owner="red"))
+        cluster.add_job(spec, TaskSet(spec.shards), 1, False, 0.5, [])
+        return count_calls(update)
+
+    assert calls(4000) <= calls(400) < 60
--- /dev/null
+++ b/sorrelsill/timers.py
@@ -0,0 +1,46 @@
+"""Timers that only ever need to be early: for state that is looked at anew when its time comes. Pure: time is given.
+
+Each key has one timer. Events that move its moment away leave the timer alone; when it is up, whoever keeps the timers
+works out the next moment and sets it again. So an event costs nothing, and a look costs what is due."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+_K = TypeVar("_K", bound=Hashable)
+
+
+class Timers(Generic[_K]):
+    """Keys by the time at which they are to be looked at."""
+
+    def __init__(self) -> None:
+        self._at: dict[_K, float] = {}
+        self._heap: list[tuple[float, int, _K]] = []
+        self._set = 0  # timers set so far; among equal times the earlier one is first
+
+    def set_if_earlier(self, key: _K, at: float) -> None:
+        """Look at the key at that time, unless it is looked at before then anyway."""
+        if at >= self._at.get(key, float("inf")):
+            return
+        self._at[key] = at
+        self._set += 1
+        heapq.heappush(self._heap, (at, self._set, key))
+
+    def pop_due(self, now: float) -> _K | None:
+        """A key whose time is over, earliest first, with its timer taken off; None if there is none."""
+        while self._heap and self._heap[0][0] < now:
+            at, _, key = heapq.heappop(self._heap)
+            if self._at.get(key) == at:  # else an earlier timer has taken its place
+                del self._at[key]
+                return key
+        return None
+
+    def clear(self) -> None:
+        """Take all timers off."""
+        self._at.clear()
+        self._heap.clear()
+
+    def __len__(self) -> int:
+        return len(self._at)
--- a/sorrelsill/workers/__init__.py
+++ b/sorrelsill/workers/__init__.py
@@ -6,6 +6,7 @@
 from sorrelsill.workers.groups import lost_work as group_loss
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
+from sorrelsill.workers.machine_sets import MachineSet, MachineUnion
 from sorrelsill.workers.messages import InvalidReportError, Report, parse_report, stop_command
 from sorrelsill.workers.push import Pusher
 from sorrelsill.workers.reports import SupersededError
@@ -14,6 +15,8 @@
     "Attempt",
     "InvalidReportError",
     "Machine",
+    "MachineSet",
+    "MachineUnion",
     "Job",
     "ClusterState",
     "Pusher",
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -18,10 +18,12 @@
 from sorrelsill import constants
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.jobs import JobSpec, TaskSet
+from sorrelsill.timers import Timers
 from sorrelsill.workers import commands, groups, loss, messages, reports
 from sorrelsill.workers.attempt import Attempt
 from sorrelsill.workers.job import Job
-from sorrelsill.workers.machine import EPSILON, Machine
+from sorrelsill.workers.machine import Machine
+from sorrelsill.workers.machine_index import MachineIndex
 from sorrelsill.workers.takeover import TakeoverAccounting
 
 log = logging.getLogger(__name__)
@@ -53,11 +55,10 @@
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
         self.by_job: dict[str, set[Attempt]] = {}  # all attempts on machines, exited ones too, by their job
-        self.ready: dict[str, Machine] = {}  # machines that may be given work
-        self.free: dict[str, Machine] = {}  # those of them with CPUs left
-        self.holders: dict[str, dict[str, Machine]] = {}  # image -> machines that hold it, as far as is guessed
+        self.index = MachineIndex()
+        self.silence: Timers[Machine] = Timers()  # when machines are looked at for silence
         self.to_roster: dict[str, Machine] = {}  # machines whose roster entry has to be written
-        self.version = 0  # grows with each job that comes or is over
+        self._changed_jobs: dict[str, None] = {}  # jobs that came, changed or ended since placing last asked
         self.machines_with_pending_commands: dict[
             str, Machine
         ] = {}  # machines that may have orders not sent to them yet
@@ -69,7 +70,6 @@
         self.unreachable_after_s = loss_s / 2
         self.expired_at = float("-inf")
         self.dirty: set[str] = set()  # jobs whose record has to be written
-        self.final: set[str] = set()  # jobs that are over, as committed
         self.gone: set[str] = set()  # machines whose roster key has to be removed
         self.renewed_by_others = float("-inf")  # leases may have been renewed by any node up to then
         self.heard_at: float | None = None  # receipt of the last report of any worker in this term
@@ -83,11 +83,14 @@
         self, report: messages.Report, now: float, acting: bool = True, fresh: bool = True
     ) -> list[dict[str, Any]] | None:
         """Take a report in; the commands for the answer, or None if it must not be answered with 200."""
-        return reports.on_report(self, report, now, acting, fresh)
+        commands = reports.on_report(self, report, now, acting, fresh)
+        loss.watch_for_silence(self, report.machine)
+        return commands
 
     def on_answer(self, report: messages.Report, now: float) -> None:
         """Take in a worker's state out of its answer to a direct call."""
         reports.on_answer(self, report, now)
+        loss.watch_for_silence(self, report.machine)
 
     def commands(self, machine: Machine, fresh: bool, now: float) -> list[dict[str, Any]]:
         """What a machine's worker is to be told in the answer to its report."""
@@ -158,7 +161,7 @@
             largest = self.largest_group.get(spec.workload)
             if largest is None or largest.cpus * largest.shards < spec.cpus * spec.shards:
                 self.largest_group[spec.workload] = spec
-        self.version += 1
+        self.job_changed(spec.job_id)
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.job_id)
         for attempt in list(self.by_job.get(spec.job_id, ())):
@@ -174,7 +177,7 @@
         self.dirty.discard(job_id)
         if job is None:
             return
-        self.version += 1
+        self.job_changed(job_id)
         if not self.takeover.settled(job):
             self.takeover.count_ended(job.spec.team, job.unknown * job.spec.cpus, job.unknown * job.spec.gpus)
         for attempt in self.by_job.get(job_id, ()):
@@ -187,37 +190,15 @@
                 self.machines_with_pending_commands[attempt.machine.name] = attempt.machine
         self.wake_placing = True
 
-    # --- indices ---
+    def job_changed(self, job_id: str) -> None:
+        """Called wherever a job comes or ends, or what is done or bound of it changes."""
+        self._changed_jobs[job_id] = None
 
-    def reindex(self, machine: Machine) -> None:
-        """Keep the indices of machines that may be given work. Called wherever what they rest on changes, and for
-        all at each sweep; placing asks each machine it chooses once more, so a late entry does no harm."""
-        if machine.usable() and self.machines.get(machine.name) is machine:
-            self.ready[machine.name] = machine
-            if machine.cap_cpus - machine.cpus > EPSILON:
-                self.free[machine.name] = machine
-            else:
-                self.free.pop(machine.name, None)
-        else:
-            self.ready.pop(machine.name, None)
-            self.free.pop(machine.name, None)
-
-    def hold_image(self, machine: Machine, spec: JobSpec) -> None:
-        self.holders.setdefault(spec.image, {})[machine.name] = machine
-        for image in machine.hold_image(spec.image, spec.image_gb):
-            self.unhold_image(machine, image)
-
-    def unhold_image(self, machine: Machine, image: str) -> None:
-        holders = self.holders.get(image)
-        if holders is not None:
-            holders.pop(machine.name, None)
-            if not holders:
-                del self.holders[image]
-
-    def _unhold_all(self, machine: Machine) -> None:
-        for image in machine.images:
-            self.unhold_image(machine, image)
-        machine.images.clear()
+    def take_changed_jobs(self) -> list[str]:
+        """The jobs that have changed since this was last asked; placing alone asks."""
+        changed = list(self._changed_jobs)
+        self._changed_jobs.clear()
+        return changed
 
     # --- binding ---
 
@@ -232,6 +213,7 @@
         self._attach(attempt, job)
         self.machines_with_pending_commands[machine.name] = machine
         job.served_at = now
+        self.job_changed(job.spec.job_id)
         if job.spec.image not in machine.images:
             machine.fetching.add(job.spec.image)
         log.debug(
@@ -278,6 +260,7 @@
         if attempt.index not in job.bound:
             job.bound[attempt.index] = attempt
             job.zones[attempt.machine.zone] = job.zones.get(attempt.machine.zone, 0) + 1
+            self.job_changed(attempt.job_id)
 
     def _take_room(self, attempt: Attempt) -> None:
         machine, spec = attempt.machine, attempt.spec
@@ -288,8 +271,7 @@
         machine.memory += spec.memory
         self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
         self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
-        if machine.cap_cpus - machine.cpus <= EPSILON:
-            self.free.pop(machine.name, None)
+        self.index.room_changed(machine)
 
     def adopt(self, attempt: Attempt, job: Job) -> None:
         """A task that an earlier leader started and that is on its machine. If it is one too many, it is stopped."""
@@ -313,6 +295,7 @@
         if keep:
             job.bound[attempt.index] = attempt
             job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+            self.job_changed(attempt.job_id)
             self.dirty.add(job.spec.job_id)
         else:
             self.machines_with_pending_commands[machine.name] = machine
@@ -331,8 +314,7 @@
         machine.memory = max(0.0, machine.memory - spec.memory)
         self.team_cpus[spec.team] = max(0.0, self.team_cpus.get(spec.team, 0.0) - spec.cpus)
         self.team_gpus[spec.team] = max(0.0, self.team_gpus.get(spec.team, 0.0) - spec.gpus)
-        if spec.cpus > 0 and machine.name in self.ready:
-            self.free[machine.name] = machine
+        self.index.room_changed(machine)
         job = self.jobs.get(spec.job_id)
         if job is not None and job.bound.get(attempt.index) is attempt:
             del job.bound[attempt.index]
@@ -341,19 +323,12 @@
             if requeue and attempt.index not in job.done:
                 heapq.heappush(job.requeued, attempt.index)
             self.dirty.add(spec.job_id)
+            self.job_changed(spec.job_id)
         if machine.live == 0:
             machine.idle_since = now
             machine.fetching.clear()
         self.wake_placing = True
 
-    def ordinary_room(self) -> dict[str, float]:
-        """CPUs free on machines that won't be taken back, by zone."""
-        room: dict[str, float] = {}
-        for machine in self.free.values():
-            if not machine.spot:
-                room[machine.zone] = room.get(machine.zone, 0.0) + machine.cap_cpus - machine.cpus
-        return room
-
     def group_spare(self, classes: Iterable[str]) -> float:
         """CPUs for one more group of each of these classes, as large as the largest seen."""
         largest = (self.largest_group.get(name) for name in classes)
@@ -363,11 +338,6 @@
         """Whether any attempt of the job may still be on a machine, one too many included."""
         return any(not attempt.exited for attempt in self.by_job.get(job_id, ()))
 
-    def take_back(self, attempt: Attempt, now: float) -> None:
-        """Undo a binding whose start was certainly never sent: made and undone within one round."""
-        self.leave(attempt)
-        self.unbind(attempt, now)
-
     def release_all(self, machine: Machine, now: float, reason: str) -> None:
         for attempt in list(machine.attempts.values()):
             job = self.jobs.get(attempt.job_id)
@@ -376,7 +346,7 @@
             self.leave(attempt)
             self.unbind(attempt, now)
         machine.cpus = machine.gpus = machine.memory = 0.0
-        self.reindex(machine)
+        self.index.room_changed(machine)
 
     # --- machines ---
 
@@ -384,7 +354,6 @@
         self.catalog = catalog
         for machine in self.machines.values():
             self._size(machine)
-            self.reindex(machine)
         self.takeover.recount()
         self.wake_placing = True
 
@@ -393,23 +362,29 @@
         if kind is not None:
             machine.cap_cpus, machine.cap_gpus, machine.cap_memory = kind.cpus, kind.gpus, kind.memory
             machine.cache_gb = kind.cache_gb
+            self.index.room_changed(machine)
 
     def machine(self, name: str, machine_type: str, zone: str, spot: bool, now: float) -> Machine:
         machine = self.machines.get(name)
         if machine is None:
-            machine = self.machines[name] = Machine(name, idle_since=now)
+            machine = self.machines[name] = Machine(name, now, self._usable_changed)
+            self.index.room_changed(machine)
         if machine_type and not machine.machine_type:
             machine.machine_type, machine.zone, machine.spot = machine_type, zone, spot
             self._size(machine)
         return machine
 
+    def _usable_changed(self, machine: Machine) -> None:
+        if self.machines.get(machine.name) is machine:
+            self.index.usable_changed(machine)
+
     def gone_for_certain(self, name: str, now: float, reason: str) -> None:
         """The machine was returned (answered 200), or is listed as failed. Machine names are never used again, so
         whatever still comes under this one is a late copy."""
         machine = self.machines.pop(name, None)
         if machine is not None:
             self.release_all(machine, now, reason)
-            self._unhold_all(machine)
+            self.index.forget(machine)
         self._add_tombstone(name, float("inf"), 0)
         self.takeover.confirm(name)
         self.gone.add(name)
@@ -418,7 +393,7 @@
     def drop(self, machine: Machine) -> None:
         """Forget a machine that is lost and listed no more; should it be alive after all, a later session tells."""
         del self.machines[machine.name]
-        self._unhold_all(machine)
+        self.index.forget(machine)
         self._add_tombstone(machine.name, machine.session, machine.sequence_number)
 
     def _add_tombstone(self, name: str, session: float, sequence_number: int) -> None:
@@ -427,8 +402,6 @@
             self.evicting,
             self.unknown,
             self.to_roster,
-            self.ready,
-            self.free,
         ):
             index.pop(name, None)
         self.tombstones[name] = (session, sequence_number)
--- a/sorrelsill/workers/loss.py
+++ b/sorrelsill/workers/loss.py
@@ -12,6 +12,41 @@
     from sorrelsill.workers.machine import Machine
 
 
+def watch_for_silence(cluster: ClusterState, name: str) -> None:
+    """Set the machine's timer, after anything that may have brought the next look at it nearer."""
+    machine = cluster.machines.get(name)
+    if machine is not None:
+        cluster.silence.set_if_earlier(machine, _next_look(cluster, machine))
+
+
+def _next_look(cluster: ClusterState, machine: Machine) -> float:
+    """When silence that goes on would next change what is believed of the machine."""
+    overdue_at = float("inf") if machine.overdue else machine.seen_at + _patience(cluster, machine)
+    return min(overdue_at, _lost_at(cluster, machine))
+
+
+def _patience(cluster: ClusterState, machine: Machine) -> float:
+    """One that answers us and doesn't report has a lease that runs out again and again, and all work with it. After a
+    takeover it has some time to find the way here. Found by reading."""
+    return cluster.overdue_s if machine.reports else max(cluster.overdue_s, cluster.unreachable_after_s)
+
+
+def _lost_at(cluster: ClusterState, machine: Machine) -> float:
+    """From when on its lease has run out for certain."""
+    if machine.lost or machine.answered_at is None:
+        return float("inf")
+    renewed_by_others = cluster.renewed_by_others
+    if machine.name in cluster.takeover.unconfirmed:
+        renewed_by_others = older_answers_until(cluster)
+    return max(machine.answered_at, renewed_by_others) + cluster.loss_s
+
+
+def older_answers_until(cluster: ClusterState) -> float:
+    """Until when anyone before us may have renewed leases. An older leader's validity ran out before the key could go,
+    but an early end of the key would let it answer for the rest of that time, so this is waited out as well."""
+    return max(cluster.renewed_by_others, cluster.started + cluster.validity_s)
+
+
 def expire_leases(cluster: ClusterState, now: float) -> list[Machine]:
     """Declare lost what has been silent for longer than the workers' lease. Returns those machines."""
     lost: list[Machine] = []
@@ -19,46 +54,51 @@
         return lost
     cluster.expired_at = now
     cluster.takeover.recount()
-    floor = cluster.renewed_by_others
-    # An older leader's last answers: its validity ran out before the key could go, but an early
-    # end of the key would let it answer for the rest of that time, so this is waited out as well.
-    older = max(floor, cluster.started + cluster.validity_s)
+    looked_at: list[Machine] = []
     released = 0
-    for machine in cluster.machines.values():
-        # One that answers us and doesn't report has a lease that runs out again and again, and all work with it.
-        # After a takeover it has some time to find the way here. Found by reading.
-        patience = cluster.overdue_s if machine.reports else max(cluster.overdue_s, cluster.unreachable_after_s)
-        if not machine.overdue and now - machine.seen_at > patience:
+    while (machine := cluster.silence.pop_due(now)) is not None:
+        if cluster.machines.get(machine.name) is not machine:
+            continue  # gone since its timer was set: guards against it coming back into the indices
+        looked_at.append(machine)
+        if now - machine.seen_at > _patience(cluster, machine):
             machine.overdue = True
-        cluster.reindex(machine)
-        if machine.lost or machine.answered_at is None:
+        if now <= _lost_at(cluster, machine):
             continue
-        if (
-            now - max(machine.answered_at, older if machine.name in cluster.takeover.unconfirmed else floor)
-            > cluster.loss_s
-        ):
-            if released >= constants.EXPIRE_TASKS:
-                # Guards against hundreds of machines lost at once: pings must not wait behind them.
-                cluster.expired_at = float("-inf")
-                break
-            released += len(machine.attempts)
-            machine.lost = True
-            machine.synced = machine.reachable = False
-            machine.relearn = True
-            machine.first_at = None
-            machine.rostered = False
-            cluster.release_all(machine, now, "machine silent, work lost")
-            cluster.takeover.confirm(machine.name)
-            cluster.gone.add(machine.name)
-            lost.append(machine)
-    if cluster.takeover.unconfirmed and now - older > cluster.loss_s:
-        for name in [
-            n for n in cluster.takeover.unconfirmed if (h := cluster.machines.get(n)) is None or h.answered_at is None
-        ]:
+        if released >= constants.EXPIRE_TASKS:
+            # Guards against hundreds of machines lost at once: pings must not wait behind them.
+            cluster.expired_at = float("-inf")
+            break
+        released += len(machine.attempts)
+        _declare_lost(cluster, machine, now)
+        lost.append(machine)
+    for machine in looked_at:
+        cluster.silence.set_if_earlier(machine, _next_look(cluster, machine))
+    _forget_unheard(cluster, now)
+    return lost
+
+
+def _declare_lost(cluster: ClusterState, machine: Machine, now: float) -> None:
+    machine.lost = True
+    machine.synced = machine.reachable = False
+    machine.relearn = True
+    machine.first_at = None
+    machine.rostered = False
+    cluster.release_all(machine, now, "machine silent, work lost")
+    cluster.takeover.confirm(machine.name)
+    cluster.gone.add(machine.name)
+
+
+def _forget_unheard(cluster: ClusterState, now: float) -> None:
+    """Registered machines that nobody can have answered for longer than a lease hold no work any more."""
+    unconfirmed = cluster.takeover.unconfirmed
+    if not unconfirmed or now - older_answers_until(cluster) <= cluster.loss_s:
+        return
+    for name in list(unconfirmed):
+        machine = cluster.machines.get(name)
+        if machine is None or machine.answered_at is None:
             cluster.takeover.confirm(name)
             cluster.gone.add(name)
-        cluster.wake_placing = True
-    return lost
+    cluster.wake_placing = True
 
 
 def hears_no_worker(cluster: ClusterState, now: float, limit: float) -> bool:
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -3,85 +3,177 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Generic, TypeVar, overload
 
+from sorrelsill.constants import AMOUNT_TOLERANCE
 from sorrelsill.workers.attempt import Attempt
 
 if TYPE_CHECKING:
     from sorrelsill.jobs import JobSpec
 
-EPSILON = 1e-6  # tolerance when amounts of CPUs, GPUs or memory are compared
+_T = TypeVar("_T")
+
+
+class _Condition(Generic[_T]):
+    """A field on which it depends whether a machine may be given work: a change of it updates the machine's `usable`,
+    and through it the indices. Guards against a place in the code that changes the field and forgets the indices."""
+
+    def __init__(self, default: _T) -> None:
+        self.default = default
+
+    def __set_name__(self, owner: type, name: str) -> None:
+        self._slot = f"_{name}"
+
+    @overload
+    def __get__(self, machine: None, owner: type) -> _Condition[_T]: ...
+
+    @overload
+    def __get__(self, machine: Machine, owner: type) -> _T: ...
+
+    def __get__(self, machine: Machine | None, owner: type) -> _T | _Condition[_T]:
+        if machine is None:
+            return self
+        value: _T = getattr(machine, self._slot)
+        return value
+
+    def __set__(self, machine: Machine, value: _T) -> None:
+        if getattr(machine, self._slot) != value:
+            setattr(machine, self._slot, value)
+            machine.update_usable()
+
+
+def _ignore(machine: Machine) -> None:
+    """For machines that stand in no index."""
 
 
-@dataclass(slots=True, eq=False)
 class Machine:
     """A machine and what is bound to it."""
 
-    name: str
-    machine_type: str = ""
-    zone: str = ""
-    spot: bool = False
-    addr: str = ""
-    session: int = 0
-    sequence_number: int = -1
-    report_sequence_number: int = -1  # of the last report proper; direct answers carry serials of the same count
-    synced: bool = False  # has reported our term as its highest token: no older leader can order it about
-    reachable: bool = False  # has shown in this session that answers or commands reach it: it may be given work
-    proved_at: float = float("-inf")  # when it last showed that
-    relearn: bool = False  # our token may be known to it from an earlier session: showing it proves no hearing
-    first_at: float | None = None  # receipt of the first report since it is not synced
-    rostered: bool = False  # its roster key is committed
-    answered_at: float | None = None  # receipt of the last report that we answered
-    lost: bool = False  # its session's lease has run out; only a later session is believed
-    evict_at: float | None = None
-    draining: bool = False
-    returning: bool = False
-    faulty: bool = False
-    attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
-    live: int = 0  # attempts that hold room on it
-    unknown: int = 0  # tasks on it of jobs that are over or unknown, not yet gone
-    cpus: float = 0.0
-    gpus: float = 0.0
-    memory: float = 0.0
-    cap_cpus: float = 0.0
-    cap_gpus: float = 0.0
-    cap_memory: float = 0.0
-    cache_gb: float = 0.0
-    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    fetching: set[str] = field(default_factory=set)  # images that tasks on it wait for
-    idle_since: float = 0.0
-    accused_by: set[str] = field(default_factory=set)  # jobs that failed here and succeeded elsewhere
-    reports: bool = False  # has sent a report in this term
-    seen_at: float = float("-inf")  # when it last reported; before its first report in this term, when it was first met
-    overdue: bool = False  # its report is late, so it may hang or be cut off: no new work before the next one
+    __slots__ = (
+        "_draining",
+        "_evict_at",
+        "_faulty",
+        "_lost",
+        "_on_usable_changed",
+        "_overdue",
+        "_reachable",
+        "_returning",
+        "_rostered",
+        "_synced",
+        "accused_by",
+        "addr",
+        "answered_at",
+        "attempts",
+        "cache_gb",
+        "cap_cpus",
+        "cap_gpus",
+        "cap_memory",
+        "cpus",
+        "fetching",
+        "first_at",
+        "gpus",
+        "idle_since",
+        "images",
+        "live",
+        "machine_type",
+        "memory",
+        "name",
+        "proved_at",
+        "relearn",
+        "report_sequence_number",
+        "reports",
+        "seen_at",
+        "sequence_number",
+        "session",
+        "spot",
+        "unknown",
+        "usable",
+        "zone",
+    )
+
+    _synced: bool
+    _reachable: bool
+    _rostered: bool
+    _lost: bool
+    _overdue: bool
+    _draining: bool
+    _returning: bool
+    _faulty: bool
+    _evict_at: float | None
+
+    synced = _Condition(False)  # has reported our term as its highest token: no older leader can order it about
+    reachable = _Condition(False)  # has shown in this session that answers or commands reach it
+    rostered = _Condition(False)  # its roster key is committed
+    lost = _Condition(False)  # its session's lease has run out; only a later session is believed
+    overdue = _Condition(False)  # its report is late, so it may hang or be cut off: no new work before the next one
+    draining = _Condition(False)
+    returning = _Condition(False)
+    faulty = _Condition(False)
+    evict_at: _Condition[float | None] = _Condition(None)  # when the cloud takes it away
+
+    def __init__(
+        self, name: str, idle_since: float = 0.0, on_usable_changed: Callable[[Machine], None] = _ignore
+    ) -> None:
+        self.name = name
+        self._on_usable_changed = on_usable_changed
+        self.usable = False  # whether it may be given work
+        for condition in _CONDITIONS:
+            setattr(self, f"_{condition}", getattr(Machine, condition).default)
+        self.machine_type = ""
+        self.zone = ""
+        self.spot = False
+        self.addr = ""
+        self.session = 0
+        self.sequence_number = -1
+        self.report_sequence_number = -1  # of the last report proper; direct answers carry numbers of the same count
+        self.reports = False  # has sent a report in this term
+        self.seen_at = float("-inf")  # when it last reported; before its first report in this term, when first met
+        self.proved_at = float("-inf")  # when it last showed that answers or commands reach it
+        self.relearn = False  # our token may be known to it from an earlier session: showing it proves no hearing
+        self.first_at: float | None = None  # receipt of the first report since it is not synced
+        self.answered_at: float | None = None  # receipt of the last report that we answered
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.live = 0  # attempts that hold room on it
+        self.unknown = 0  # tasks on it of jobs that are over or unknown, not yet gone
+        self.cpus = self.gpus = self.memory = 0.0  # in use
+        self.cap_cpus = self.cap_gpus = self.cap_memory = self.cache_gb = 0.0
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.fetching: set[str] = set()  # images that tasks on it wait for
+        self.idle_since = idle_since
+        self.accused_by: set[str] = set()  # jobs that failed here and succeeded elsewhere
+
+    def update_usable(self) -> None:
+        """Work out anew whether the machine may be given work, and tell the indices of a change."""
+        usable = (
+            self._synced
+            and self._reachable
+            and self._rostered
+            and not self._lost
+            and not self._overdue
+            and not self._draining
+            and not self._returning
+            and not self._faulty
+            and self._evict_at is None
+        )
+        if usable != self.usable:
+            self.usable = usable
+            self._on_usable_changed(self)
 
     def room_for(self, spec: JobSpec) -> bool:
+        """Whether one more task of the job fits now."""
         return (
-            self.cap_cpus - self.cpus + EPSILON >= spec.cpus
-            and self.cap_memory - self.memory + EPSILON >= spec.memory
-            and self.cap_gpus - self.gpus + EPSILON >= spec.gpus
+            self.cap_cpus - self.cpus + AMOUNT_TOLERANCE >= spec.cpus
+            and self.cap_memory - self.memory + AMOUNT_TOLERANCE >= spec.memory
+            and self.cap_gpus - self.gpus + AMOUNT_TOLERANCE >= spec.gpus
         )
 
     def large_enough_for(self, spec: JobSpec) -> bool:
         """Whether a task would fit if the machine were empty."""
         return (
-            self.cap_cpus + EPSILON >= spec.cpus
-            and self.cap_memory + EPSILON >= spec.memory
-            and self.cap_gpus + EPSILON >= spec.gpus
-        )
-
-    def usable(self) -> bool:
-        return (
-            self.synced
-            and self.reachable
-            and self.rostered
-            and not self.lost
-            and not self.overdue
-            and not self.draining
-            and not self.returning
-            and not self.faulty
-            and self.evict_at is None
+            self.cap_cpus + AMOUNT_TOLERANCE >= spec.cpus
+            and self.cap_memory + AMOUNT_TOLERANCE >= spec.memory
+            and self.cap_gpus + AMOUNT_TOLERANCE >= spec.gpus
         )
 
     def allows(self, spec: JobSpec) -> bool:
@@ -101,3 +193,6 @@
         while sum(self.images.values()) > self.cache_gb and len(self.images) > 1:
             out.append(self.images.popitem(last=False)[0])
         return out
+
+
+_CONDITIONS = tuple(name for name, value in vars(Machine).items() if isinstance(value, _Condition))
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -111,7 +111,6 @@
             except NoAnswerError as error:
                 # The attempts stay loose, and the machine gets no more work before it has shown that it hears.
                 machine.reachable = False
-                cluster.reindex(machine)
                 self._later(machine.name, str(error))
                 return
             if status in (200, 400, 409):
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -53,9 +53,7 @@
     machine.report_sequence_number = report.sequence_number
     machine.reports = True
     machine.seen_at = now
-    if machine.overdue:
-        machine.overdue = False
-        cluster.reindex(machine)
+    machine.overdue = False
     if stale:
         # Overtaken by an answer to a direct call, which told more. It is no copy, so its lease may go on.
         if not machine.synced:
@@ -74,10 +72,7 @@
         # One that does not follow is no proof of the contrary: reports cross with direct answers, and a worker
         # that was led here comes from elsewhere. Found on a measured day: a sixth of the machines, and after a
         # takeover half, stood aside for a report interval each time.
-        reachable = follows or (machine.reachable and now - machine.proved_at <= cluster.unreachable_after_s)
-        if reachable != machine.reachable:
-            machine.reachable = reachable
-            cluster.reindex(machine)
+        machine.reachable = follows or (machine.reachable and now - machine.proved_at <= cluster.unreachable_after_s)
     if follows:
         machine.proved_at = now
     cluster.heard_at = now
@@ -113,7 +108,6 @@
         _sync(cluster, machine, report, True, now)
         machine.reachable = True
         machine.proved_at = now
-        cluster.reindex(machine)
     if machine.answered_at is None:
         machine.answered_at = now
     _reconcile(cluster, machine, report, now, False)
@@ -128,7 +122,6 @@
             cluster.release_all(machine, now, "worker's lease ran out")
             machine.relearn = True
         machine.reachable = False
-        cluster.reindex(machine)
         machine.session = report.session
         if machine.synced:
             # A session has a whole lease from its beginning, which was before now, whether or not a report of it
@@ -141,7 +134,6 @@
     if report.evict_in_s is not None:
         machine.evict_at = now + report.evict_in_s
         cluster.evicting[machine.name] = machine
-        cluster.reindex(machine)
 
 
 def _sync(cluster: ClusterState, machine: Machine, report: messages.Report, reachable: bool, now: float) -> None:
@@ -159,7 +151,6 @@
     cluster.machines_with_pending_commands[machine.name] = machine
     if not machine.rostered:
         cluster.to_roster[machine.name] = machine
-    cluster.reindex(machine)
     cluster.wake_placing = True
 
 
@@ -218,12 +209,12 @@
         return
     attempt.phase = item.phase
     if item.phase == "waiting" and attempt.spec is not None:
-        cluster.hold_image(machine, attempt.spec)  # it has its image, and waits for the rest of its group
+        cluster.index.hold_image(machine, attempt.spec)  # it has its image, and waits for the rest of its group
     if item.phase == "running" and attempt.running_since is None:
         attempt.running_since = now
         log.debug("runs %s on %s, %.2f s after it was bound", attempt.task_id, machine.name, now - attempt.created)
         if attempt.spec is not None:
-            cluster.hold_image(machine, attempt.spec)
+            cluster.index.hold_image(machine, attempt.spec)
             cluster.dirty.add(attempt.job_id)
 
 
@@ -253,6 +244,7 @@
                 if job.done.add(index):
                     job.dirty_parts.add(index // constants.PART_SHARDS)
                     cluster.dirty.add(attempt.job_id)
+                    cluster.job_changed(attempt.job_id)
             _accuse(cluster, job, job.failures.success(machine.name))
         else:
             attempt.clearable = True
@@ -311,4 +303,3 @@
         if len(machine.accused_by) >= constants.HOST_ERRORS_SUSPECT and not machine.faulty:
             log.info("%s is faulty: %s failed there and succeeded elsewhere", name, sorted(machine.accused_by))
             machine.faulty = True
-            cluster.reindex(machine)
--- a/sorrelsill/workers/test_cluster_state.py
+++ b/sorrelsill/workers/test_cluster_state.py
@@ -2,6 +2,7 @@
 
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.workers import ClusterState, Machine, Report
+from tests.simulation import count_calls
 
 KIND = MachineType("c8", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("a",))
 
@@ -22,27 +23,27 @@
 def test_a_report_out_of_step_does_not_make_a_machine_stand_aside() -> None:
     """Found on a measured day: at each crossing of a report with a direct answer it got no work for an interval."""
     cluster, machine = ledger_of_one()
-    assert machine.usable()
+    assert machine.usable
     report(cluster, 9, 3.0)
-    assert machine.usable()
+    assert machine.usable
 
 
 def test_a_machine_that_never_follows_on_our_answers_stands_aside() -> None:
     cluster, machine = ledger_of_one()
     for turn in range(1, 4):  # it goes from one controller to the next, and comes by again
         report(cluster, 2 + 3 * turn, 2.0 + 5.0 * turn)
-    assert not machine.usable()
+    assert not machine.usable
     report(cluster, 12, 18.0)
-    assert machine.usable()
+    assert machine.usable
 
 
 def test_a_new_session_gets_work_once_it_has_shown_that_it_hears() -> None:
     """Our token may be known to it from the session before, so showing that proves nothing."""
     cluster, machine = ledger_of_one()
     report(cluster, 3, 14.0, session=2)
-    assert not machine.usable()
+    assert not machine.usable
     report(cluster, 4, 15.0, session=2)
-    assert machine.usable()
+    assert machine.usable
 
 
 def test_reports_of_a_roster_machine_that_shows_no_token_are_answered_only_for_a_while() -> None:
@@ -80,22 +81,43 @@
 def test_a_machine_that_answers_but_does_not_report_gets_no_work() -> None:
     cluster, machine = greeted()
     cluster.expire_leases(3.0)
-    assert machine.usable(), "after a takeover it may still be on its way here"
+    assert machine.usable, "after a takeover it may still be on its way here"
     answer(cluster, 2, 7.0)
     cluster.expire_leases(7.5)
-    assert not machine.usable()
+    assert not machine.usable
     report(cluster, 3, 8.0)
     cluster.expire_leases(8.1)
-    assert machine.usable()
+    assert machine.usable
 
 
 def test_a_machine_whose_lease_ran_out_while_it_answered_gets_no_work() -> None:
     cluster, machine = greeted()
     answer(cluster, 2, 3.0, session=2)
     cluster.expire_leases(3.1)
-    assert not machine.usable()
+    assert not machine.usable
     report(cluster, 3, 4.0, session=2)
     report(cluster, 4, 5.0, session=2)
     machine.rostered = True
     cluster.expire_leases(5.1)
-    assert machine.usable()
+    assert machine.usable
+
+
+def test_a_machine_that_is_gone_is_not_declared_lost_when_its_timer_is_up() -> None:
+    """Found by the simulation's check of the indices: it came back into them, and its name was released anew."""
+    cluster, _ = ledger_of_one()
+    cluster.gone_for_certain("m1", 3.0, "machine returned")
+    cluster.gone.clear()
+    assert not cluster.expire_leases(60.0) and not cluster.gone
+    assert not cluster.index.idle and not cluster.index.ready
+
+
+def test_a_look_for_silence_asks_only_the_machines_that_are_due() -> None:
+    cluster = ClusterState(7, 0.0, Catalog({"c8": KIND}), 11.5, 2.7, overdue_s=4.0)
+    for number in range(300):
+        for sequence_number in (1, 2):
+            cluster.on_report(
+                Report(f"m{number}", 1, sequence_number, "c8", "a", "10.0.0.9:9000", False, 7), 1.0 + number / 100
+            )
+    assert count_calls(lambda: cluster.expire_leases(4.5)) < 20, "none is due"
+    cluster.expire_leases(5.505)
+    assert sum(machine.overdue for machine in cluster.machines.values()) == 51
--- /dev/null
+++ b/sorrelsill/workers/test_machine_sets.py
@@ -0,0 +1,60 @@
+"""Sets of machines that are drawn from while they change."""
+
+import random
+
+from sorrelsill.workers.machine import Machine
+from sorrelsill.workers.machine_sets import FreeMachines, MachineSet
+
+
+def machine(name: str, cpus: float, used: float = 0.0, zone: str = "a", spot: bool = False) -> Machine:
+    made = Machine(name)
+    made.cap_cpus, made.cpus, made.zone, made.spot = cpus, used, zone, spot
+    return made
+
+
+def test_a_set_holds_what_was_added_and_not_removed_at_positions_without_gaps() -> None:
+    rng = random.Random(1)
+    machines = {f"m{number}": machine(f"m{number}", 8.0) for number in range(50)}
+    drawn, expected = MachineSet(), set()
+    for _ in range(2000):
+        name = rng.choice(list(machines))
+        if rng.random() < 0.5:
+            drawn.add(machines[name])
+            expected.add(name)
+        else:
+            drawn.discard(name)
+            expected.discard(name)
+        assert drawn.names() == expected and len(drawn) == len(expected)
+        assert {drawn[at].name for at in range(len(drawn))} == expected
+
+
+def test_machines_with_too_few_cpus_left_are_never_offered_and_all_others_are() -> None:
+    rng = random.Random(2)
+    free = FreeMachines()
+    machines = [machine(f"m{number}", 200.0, zone="ab"[number % 2], spot=number % 3 == 0) for number in range(60)]
+    for _ in range(500):
+        one = rng.choice(machines)
+        one.cpus = rng.choice([0.0, 0.3, 100.5, 150.0, 198.9, 199.9999999, 200.0])
+        free.put(one)
+        if rng.random() < 0.2:
+            free.discard(one.name)
+    known = [each for each in machines if each.name in free]
+    for cpus in (0.05, 0.5, 1.0, 1.1, 40.0, 99.5, 200.0):
+        offered = {each.name for each in free.with_room(cpus)}
+        assert {each.name for each in known if each.cap_cpus - each.cpus + 1e-6 >= cpus} <= offered
+        # Sorted by whole CPUs up to the number of classes: what is offered in vain lacks less than one.
+        assert all(each.cap_cpus - each.cpus > min(cpus, 64.0) - 1.0 for each in known if each.name in offered)
+    by_zone = {z: sum(m.cap_cpus - m.cpus for m in known if m.zone == z and not m.spot) for z in "ab"}
+    assert {z: round(cpus, 3) for z, cpus in free.ordinary_cpus().items()} == {
+        z: round(cpus, 3) for z, cpus in by_zone.items() if cpus
+    }
+
+
+def test_a_union_reaches_each_machine_once() -> None:
+    free = FreeMachines()
+    for number in range(30):
+        free.put(machine(f"m{number}", 16.0, used=float(number % 16)))
+    union = free.with_room(4.0)
+    names = [union[at].name for at in range(len(union))]
+    assert len(names) == len(set(names)) == sum(1 for number in range(30) if number % 16 <= 12)
+    assert [each.name for each in union] == names
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -44,7 +44,8 @@
         most = max(most, sum(len(leader.tasks[h.name]) for h in batch))
     assert lost == 400 and most <= constants.EXPIRE_TASKS + 16
     assert sum(j.waiting for j in leader.cluster.jobs.values()) == lost_tasks
-    assert not any(leader.cluster.machines[n].attempts or n in leader.cluster.ready for n in silent)
+    assert not any(leader.cluster.machines[n].attempts for n in silent)
+    assert not leader.cluster.index.ready.names() & set(silent)
 
 
 def test_overdue_machines_get_no_new_work_before_they_report_again() -> None:
@@ -59,7 +60,7 @@
     bound = leader.cluster.jobs["run-n"].bound
     assert len(bound) == 350 and not {a.machine.name for a in bound.values()} & set(leader.names[:50])
     leader.all_report(leader.names[:50])
-    assert len(leader.cluster.ready) == MACHINES
+    assert len(leader.cluster.index.ready) == MACHINES
 
 
 def test_machines_not_heard_yet_hold_back_only_what_may_run_on_them() -> None:
--- a/tests/scenarios/test_groups.py
+++ b/tests/scenarios/test_groups.py
@@ -350,7 +350,6 @@
     for number in range(4):
         machine = cluster.machine(f"m-{number}", "c8", "ab"[number % 2], False, 0.0)
         machine.synced = machine.reachable = machine.rostered = True
-        cluster.reindex(machine)
     aims = [Objective("wait", "ceremony", 8.0), Objective("deadline", "w", times=1.0)]
     placer = Placer([Team("red")], aims, random.Random(1), constants.SAMPLE)
     first = cluster.add_job(parse_spec(group("run-g", workload="ceremony", shards=4)), TaskSet(4), 2, False, 0.0, [])
@@ -363,7 +362,8 @@
     placer.round(cluster, 2.0, lambda: 0.0, 1.0)
     assert len(second.bound) == 4
     for attempt in list(second.bound.values()):
-        cluster.take_back(attempt, 3.0)
+        cluster.leave(attempt)
+        cluster.unbind(attempt, 3.0)
     cluster.end_job("run-h")
     late = cluster.add_job(parse_spec(job("run-b", shards=4)), TaskSet(4), 5, False, 3.0, [])
     placer.round(cluster, 4.0, lambda: 0.0, 1.0)
--- a/tests/simulation/leader_in_memory.py
+++ b/tests/simulation/leader_in_memory.py
@@ -91,7 +91,6 @@
         """The registry entries of all machines that wait for one are committed."""
         for machine in list(self.cluster.to_roster.values()):
             machine.rostered = True
-            self.cluster.reindex(machine)
         self.cluster.to_roster.clear()
 
     def all_report(self, names: list[str] | None = None) -> None:
--- a/tests/simulation/simulated_cluster.py
+++ b/tests/simulation/simulated_cluster.py
@@ -365,11 +365,29 @@
                     if at is not None and now - at > CANCEL_S:
                         self.broken.append(f"ran_cancelled: {task_id} on {worker.name}")
             self.gangs.step(now)
+            self._check_indices()
             held = self.store.kv.get("s/leader")
             if held is not None and (not self.led or self.led[-1][0] != held[1]):
                 self.led.append((held[1], held[0]["label"]))
             await trio.sleep(0.1)
 
+    def _check_indices(self) -> None:
+        """What the leader's indices of machines say is what a walk over all machines finds."""
+        for label, node in self.nodes.items():
+            if not isinstance(node, Controller) or node.cluster is None:
+                continue
+            index, machines = node.cluster.index, node.cluster.machines.values()
+            ready = {m.name for m in machines if m.usable}
+            free = {m.name for m in machines if m.usable and m.cap_cpus - m.cpus > 1e-6}
+            idle = {m.name for m in machines if not m.live}
+            for name, indexed, walked in (
+                ("ready", index.ready.names(), ready),
+                ("free", index.free.names(), free),
+                ("idle", index.idle.names(), idle),
+            ):
+                if indexed != walked:
+                    self.broken.append(f"index {name} of {label} at {trio.current_time():.1f}: {indexed ^ walked}")
+
     # --- users ---
 
     async def ask(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
