Limits that follow time or the quota of sockets instead of fixed numbers

Need: remembered gone machines (4,096), remembered ends of jobs (4,096), calls to workers in flight (96), probes (24) and heads for 2,048 hosts stand below what 4,000 machines with their comings and goings pass.

- Gone machines and ends are kept for their time; calls and probes follow the quota of sockets, which grows with the fleet (96 and 24 stay the least).
One template serves the heads for all hosts.
- Machines to probe after a takeover are found by timers instead of a walk over all of them in each round.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -51,14 +51,18 @@
 EXPIRE_EVERY_S: Final = 0.25  # s; between two looks for machines silent past their lease
 EXPIRE_TASKS: Final = 600  # tasks; given up as lost in one look, some 10 ms of work; the next look goes on from there
 REPEAT_S: Final = 120.0  # s; a repeat of a direct start may come this late: its task is cleared only after it
-TOMBSTONES_KEPT: Final = 4096  # machines that are gone, remembered so that late copies of their reports are refused
+TOMBSTONE_S: Final = 900.0  # s; a machine that is gone is remembered this long at the least, so that late copies of its
+#                             reports are refused: messages may be minutes late
+TOMBSTONES_KEPT: Final = 4096  # machines that are gone; so many are remembered for longer than that
 TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
 
 PUSH_TIMEOUT_S: Final = 2.0  # s; for a worker's answer to orders sent straight to it
 PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long, twice as long ...
 PUSH_BACKOFF_MAX_S: Final = 16.0  # s; ... each time up to this: silence that lasts should cost ever less
-PUSH_AT_ONCE: Final = 96  # calls to workers in flight: dozens of machines that hang at once must not take all of them
-PROBES_AT_ONCE: Final = 24  # greetings in flight; starts don't queue behind them
+PUSH_AT_ONCE: Final = 96  # calls to workers in flight, at the least: dozens of machines that hang at once must not take
+#                           all of them ...
+PUSH_AT_ONCE_OF_SOCKETS: Final = 0.05  # ratio; ... and this part of the quota of sockets, which grows with the fleet
+PROBES_OF_PUSHES: Final = 0.25  # ratio; of the calls in flight, for probes: starts don't queue behind them
 OVERDUE_OF_REPORT: Final = 1.25  # ratio; the longest interval between reports, of the usual one ...
 OVERDUE_EXTRA_S: Final = 1.0  # s; ... and this on top: a machine silent for longer gets no new work and no calls
 PUSH_SOCKETS: Final = 0.25  # ratio; of the quota of sockets, for connections kept to workers
@@ -73,7 +77,7 @@
 VIEW_STALE_S: Final = 3.0  # s; no start on a job view older than this
 RETRY_S: Final = 0.25  # s; pause after a failed store call in a loop
 FINAL_CACHE: Final = 20_000  # jobs; finished jobs whose final state is held in memory
-ENDED_KEPT: Final = 4096  # jobs; lately over, remembered for what they may still run
+ENDED_MARGIN_S: Final = 10.0  # s; jobs lately over are remembered for longer than their tasks may live, by this
 CHUNK_SHARDS: Final = 16_384  # tasks; jobs above this keep finished tasks in keys of their own
 PART_SHARDS: Final = 4_096  # tasks; the same in smaller keys where a value may not be that long: at most 0.7 KB each
 VALUE_SHARE: Final = 0.9  # ratio; of a value's limit that we fill, since how the store writes JSON is not known
--- a/sorrelsill/controller.py
+++ b/sorrelsill/controller.py
@@ -24,6 +24,7 @@
 from sorrelsill.store import CATALOG, LEADER, Condition, Put, Store, UnavailableError, View
 from sorrelsill.store import AmbiguousError as StoreAmbiguous
 from sorrelsill.workers import (
+    CallLimits,
     ClusterState,
     InvalidReportError,
     Pusher,
@@ -60,7 +61,8 @@
         self.settings = settings
         self.timings = Timings.derive(facts.workers, operator)
         self.store = Store(make_client(settings.services.state), facts.state, facts.nodes)
-        self.view = View(self.store)
+        self._ended_window_s = facts.workers.cancel_s + facts.workers.lease_s  # cancelled tasks may live so long
+        self.view = View(self.store, self._ended_window_s + constants.ENDED_MARGIN_S)
         self.watchdog = Watchdog(self.timings.stall_s, self.timings.self_release_s)
         self.elector = Elector(
             self.store,
@@ -88,8 +90,8 @@
         self.catalog: Catalog | None = None
         self._catalog_raw: Any = None
         self._catalog_saved: Any = None
-        keep = max(8, int(facts.quota.sockets * constants.PUSH_SOCKETS))
-        self.pusher = Pusher(make_client, self.elector.valid, self._fresh, keep)
+        limits = CallLimits.derive(facts.quota.sockets)
+        self.pusher = Pusher(make_client, self.elector.valid, self._fresh, limits)
         self.pusher.on_news = self._news
         self._labels = {m.label for m in settings.members}
         self._wake = trio.Event()
@@ -148,8 +150,7 @@
     def _lately_over(self) -> list[tuple[str, float, float]] | None:
         """What cancelled jobs may still run: every task is gone within `cancel_s` of the answer. None if this process
         has not followed the records for long enough to know of all of them."""
-        workers = self.settings.facts.workers
-        ended = self.view.lately_over(workers.cancel_s + workers.lease_s)
+        ended = self.view.lately_over(self._ended_window_s)
         if ended is None:
             return None
         out = []
@@ -438,8 +439,7 @@
         if not self.placer.round(cluster, now, trio.current_time, constants.ROUND_BUDGET_S) or lost:
             self._wake.set()
         self.pusher.start_due(cluster, self._nursery)
-        for name in cluster.unconfirmed:
-            self.pusher.probe(cluster, name, cluster.unconfirmed_addresses.get(name, ""), self._nursery)
+        self.pusher.probe_unconfirmed(cluster, self._nursery)
         # A round's work is charged: leave as much time to answering as it took.
         await trio.sleep(max(0.0, trio.current_time() - now))
 
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -168,7 +168,7 @@
                 del self.pending[name]
         for name, machine in list(self._cluster.machines.items()):
             if name not in found and machine.lost and now - machine.seen_at > patience:
-                self._cluster.drop(machine)
+                self._cluster.drop(machine, now)
 
     def _report_use(self, now: float) -> None:
         """For operators who ask where the money goes: machines, room and use by kind."""
--- a/sorrelsill/http/heads.py
+++ b/sorrelsill/http/heads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -14,6 +15,8 @@
 from sorrelsill import constants
 
 END = b"\r\n\r\n"
+_ANY_HOST = "0.0.0.0:0"  # stands for the host in templates
+_PLAIN_HOST = re.compile(r"[0-9.:]+")
 _ODD = frozenset({b"connection", b"transfer-encoding", b"expect", b"upgrade"})  # these change how a connection goes on
 
 
@@ -89,14 +92,26 @@
 
 
 @lru_cache(maxsize=constants.HEADS_KEPT)
-def _head_without_length(method: str, target: str, host: str, body: bool) -> bytes:
+def _request_template(method: str, target: str, body: bool) -> tuple[bytes, bytes]:
+    """The parts of the head before and after the host. One serves all machines, however many there are."""
+    head = _write_with_h11(method, target, _ANY_HOST, body)
+    before, _, after = head.partition(_ANY_HOST.encode("ascii"))
+    return before, after
+
+
+def _write_with_h11(method: str, target: str, host: str, body: bool) -> bytes:
+    """The head up to the digits of the length."""
     conn = h11.Connection(h11.CLIENT)
     head = [("Host", host), *([("Content-Type", "application/msgpack")] if body else []), ("Content-Length", "0")]
     return (conn.send(h11.Request(method=method, target=target, headers=head)) or b"")[: -len(b"0" + END)]
 
 
 def write_request(method: str, target: str, host: str, length: int) -> bytes:
-    """The head of a request; only the digits of its length are put in anew. A target with a query hardly ever comes
-    again, and would only push the others out of what is kept."""
-    write = _head_without_length if "?" not in target else _head_without_length.__wrapped__
-    return write(method, target, host, length > 0) + str(length).encode("ascii") + END
+    """The head of a request; only the host and the digits of its length are put in anew. A target with a query hardly
+    ever comes again, and would only push the others out of what is kept."""
+    if "?" in target or not _PLAIN_HOST.fullmatch(host):
+        head = _write_with_h11(method, target, host, length > 0)
+    else:
+        before, after = _request_template(method, target, length > 0)
+        head = before + host.encode("ascii") + after
+    return head + str(length).encode("ascii") + END
--- a/sorrelsill/http/test_http.py
+++ b/sorrelsill/http/test_http.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 
+import h11
+import pytest
 import trio
 import trio.testing
 
 from sorrelsill import constants
-from sorrelsill.http import Client, NoAnswerError, NotSentError, Reply, Request, Server
+from sorrelsill.http import Client, NoAnswerError, NotSentError, Reply, Request, Server, heads
 
 
 async def _echo(request: Request) -> Reply:
@@ -151,6 +153,17 @@
     _play(tell, most=20)
 
 
+def test_heads_for_many_hosts_share_a_template_and_are_those_of_h11() -> None:
+    heads._request_template.cache_clear()
+    for number in range(5000):
+        host = f"10.1.{number // 250}.{number % 250}:9000"
+        plain = heads.write_request("POST", "/commands", host, number)
+        assert plain == heads._write_with_h11("POST", "/commands", host, number > 0) + f"{number}\r\n\r\n".encode()
+    assert heads._request_template.cache_info().currsize == 2
+    with pytest.raises(h11.LocalProtocolError):
+        heads.write_request("POST", "/commands", "10.0.0.1\r\nX: y", 1)
+
+
 def test_the_client_tells_not_sent_from_no_answer() -> None:
     async def silent(request: Request) -> Reply:
         await trio.sleep_forever()
--- a/sorrelsill/serve.py
+++ b/sorrelsill/serve.py
@@ -14,6 +14,7 @@
 from sorrelsill.controller import Controller
 from sorrelsill.http import Server
 from sorrelsill.settings import Operator, Settings, SettingsError, load, load_operator, split_addr
+from sorrelsill.workers import CallLimits
 
 log = logging.getLogger("sorrelsill")
 
@@ -37,7 +38,7 @@
     node = Controller(settings, operator, random.Random())
     sockets = settings.facts.quota.sockets
     peers = constants.PEER_SOCKETS if settings.members else 0
-    pushes = max(8, int(sockets * constants.PUSH_SOCKETS))
+    pushes = CallLimits.derive(sockets).connections
     most = max(8, sockets - constants.SOCKET_RESERVE - peers - pushes)
     # A worker that is silent for a whole lease begins a new session, so its connection is good for nothing after that.
     users = Server(node.handle, most, "users", node.timings.loss_s)
--- a/sorrelsill/store/test_view.py
+++ b/sorrelsill/store/test_view.py
@@ -15,7 +15,7 @@
         async with trio.open_nursery() as nursery:
             net, fake = FakeNet(nursery), FakeStore()
             net.handlers["store"] = fake.handle
-            view = View(Store(net.client("n0")("store"), StateLimits(1000.0, 1000.0, 32.0, 16), 1))
+            view = View(Store(net.client("n0")("store"), StateLimits(1000.0, 1000.0, 32.0, 16), 1), 30.0)
             nursery.start_soon(view.run)
             nursery.start_soon(view.run_barriers)
             await tell(view, fake)
@@ -77,6 +77,26 @@
     _follow(tell)
 
 
+def test_ends_are_remembered_for_their_time_however_many_there_are() -> None:
+    """With a fixed number of them, the ends of a large fleet's jobs left a new leader in the dark."""
+
+    async def tell(view: View, fake: FakeStore) -> None:
+        for number in range(6000):
+            view.apply(job_key(f"run-{number}"), {"n": 0}, 10_000 + number, True)
+        await trio.sleep(20)
+        for number in range(6000):
+            view.apply(job_key(f"run-{number}"), None, 20_000 + number, False)
+        await trio.sleep(8)
+        assert len(view.lately_over(10) or ()) == 6000
+        await trio.sleep(31)
+        view.apply(job_key("run-x"), {"n": 0}, 30_000, True)
+        view.apply(job_key("run-x"), None, 30_001, False)
+        assert list(view.ended) == ["run-x"], "what is older takes no memory"
+        assert view.lately_over(31) is None, "nothing is said about more than is remembered"
+
+    _follow(tell)
+
+
 def test_a_removal_that_the_view_has_not_reached_yet_is_remembered() -> None:
     """A job cancelled here, before the watch told of it, must not come back with a watch answer that was on its way.
     Its tasks may run on for a while, so it counts as lately over all the same."""
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -57,8 +57,9 @@
 class View:
     """Live keys in memory; final records only in a bounded cache, since they are kept for ever."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, keep_ended_s: float) -> None:
         self._store = store
+        self._keep_ended_s = keep_ended_s  # how long jobs that are over are remembered
         self.keys: dict[str, tuple[Any, int]] = {}
         self.finals: OrderedDict[str, Any] = OrderedDict()
         self.ended: OrderedDict[str, tuple[float, Any]] = OrderedDict()  # jobs lately over: when seen, last live record
@@ -173,15 +174,16 @@
         self._note_over(key[len(_JOB) :], value)
 
     def _note_over(self, job_id: str, value: Any) -> None:
-        self.ended[job_id] = trio.current_time(), value
-        if len(self.ended) > constants.ENDED_KEPT:
+        now = trio.current_time()
+        self.ended[job_id] = now, value
+        self.ended.move_to_end(job_id)
+        while now - next(iter(self.ended.values()))[0] > self._keep_ended_s:
             self.ended.popitem(last=False)
-            self.whole_since = trio.current_time()
 
     def lately_over(self, window: float) -> list[tuple[str, Any]] | None:
         """The last live records of jobs that ended within the last `window` seconds; None if some may be missing."""
         now = trio.current_time()
-        if now - window < self.whole_since:
+        if now - window < self.whole_since or window > self._keep_ended_s:
             return None
         return [(job_id, value) for job_id, (at, value) in self.ended.items() if now - at <= window]
 
--- a/sorrelsill/workers/__init__.py
+++ b/sorrelsill/workers/__init__.py
@@ -9,11 +9,12 @@
 from sorrelsill.workers.machine_index import MachineIndex
 from sorrelsill.workers.machine_sets import MachineSet, MachineUnion
 from sorrelsill.workers.messages import InvalidReportError, Report, parse_report, stop_command
-from sorrelsill.workers.push import Pusher
+from sorrelsill.workers.push import CallLimits, Pusher
 from sorrelsill.workers.reports import SupersededError
 
 __all__ = [
     "Attempt",
+    "CallLimits",
     "InvalidReportError",
     "Machine",
     "MachineIndex",
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -11,7 +11,6 @@
 
 import heapq
 import logging
-from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Any
 
@@ -25,6 +24,7 @@
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.machine_index import MachineIndex
 from sorrelsill.workers.takeover import TakeoverAccounting
+from sorrelsill.workers.tombstones import Tombstones
 
 log = logging.getLogger(__name__)
 
@@ -64,9 +64,7 @@
         ] = {}  # machines that may have orders not sent to them yet
         self.evicting: dict[str, Machine] = {}  # machines with a notice
         self.unknown: dict[str, Machine] = {}  # machines with tasks of jobs that are over or unknown
-        self.tombstones: OrderedDict[str, tuple[float, int]] = (
-            OrderedDict()
-        )  # machines gone: session and serial last seen
+        self.tombstones = Tombstones()
         self.unreachable_after_s = loss_s / 2
         self.expired_at = float("-inf")
         self.dirty: set[str] = set()  # jobs whose record has to be written
@@ -385,18 +383,20 @@
         if machine is not None:
             self.release_all(machine, now, reason)
             self.index.forget(machine)
-        self._add_tombstone(name, float("inf"), 0)
+        self._forget(name)
+        self.tombstones.bury_for_good(name, now)
         self.takeover.confirm(name)
         self.gone.add(name)
         self.wake_placing = True
 
-    def drop(self, machine: Machine) -> None:
+    def drop(self, machine: Machine, now: float) -> None:
         """Forget a machine that is lost and listed no more; should it be alive after all, a later session tells."""
         del self.machines[machine.name]
         self.index.forget(machine)
-        self._add_tombstone(machine.name, machine.session, machine.sequence_number)
+        self._forget(machine.name)
+        self.tombstones.bury(machine.name, machine.session, machine.sequence_number, now)
 
-    def _add_tombstone(self, name: str, session: float, sequence_number: int) -> None:
+    def _forget(self, name: str) -> None:
         for index in (
             self.machines_with_pending_commands,
             self.evicting,
@@ -404,10 +404,6 @@
             self.to_roster,
         ):
             index.pop(name, None)
-        self.tombstones[name] = (session, sequence_number)
-        self.tombstones.move_to_end(name)
-        while len(self.tombstones) > constants.TOMBSTONES_KEPT:
-            self.tombstones.popitem(last=False)
 
     # --- reports ---
 
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -9,6 +9,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,6 +18,7 @@
 from sorrelsill import constants
 from sorrelsill.http import Client, NoAnswerError, NotSentError
 from sorrelsill.settings import split_addr
+from sorrelsill.timers import Timers
 from sorrelsill.workers.commands import direct_commands_answered
 from sorrelsill.workers.messages import InvalidReportError, parse_report
 
@@ -30,27 +32,50 @@
 _encode = msgspec.msgpack.Encoder().encode
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """How many calls to workers there may be. Every machine needs a socket of the leader's for its reports, so the
+    quota of sockets grows with the fleet, and these limits with it."""
+
+    connections: int  # machines to which a connection is kept
+    in_flight: int
+    probes: int  # of those in flight
+
+    @classmethod
+    def derive(cls, sockets: int) -> CallLimits:
+        """Out of a controller's quota of sockets."""
+        in_flight = max(constants.PUSH_AT_ONCE, int(sockets * constants.PUSH_AT_ONCE_OF_SOCKETS))
+        return cls(
+            connections=max(8, int(sockets * constants.PUSH_SOCKETS)),
+            in_flight=in_flight,
+            probes=int(in_flight * constants.PROBES_OF_PUSHES),
+        )
+
+
 class Pusher:
     """One call in flight per machine, a bounded number in all; a machine that fails is left alone a while."""
 
     def __init__(
-        self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool], keep: int
+        self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool], limits: CallLimits
     ) -> None:
         self._make = client
-        self._keep = keep  # machines to which a connection is kept
+        self._limits = limits
         self._valid = valid
         self._fresh = fresh
         self._clients: OrderedDict[str, Client] = OrderedDict()
         self._busy: set[str] = set()
         self._probing = 0
         self._failed: dict[str, tuple[float, float]] = {}  # machine -> when a call failed, and the pause after it
+        self._swept_at = float("-inf")
+        self._probed: ClusterState | None = None  # whose machines are probed
+        self._probe_timers: Timers[str] = Timers()  # when machines not heard yet are probed next
         self.on_news: Callable[[], None] = lambda: None
 
     def _client(self, addr: str) -> Client:
         client = self._clients.get(addr)
         if client is None:
             client = self._clients[addr] = self._make(addr)
-            while len(self._clients) > self._keep:
+            while len(self._clients) > self._limits.connections:
                 self._clients.popitem(last=False)[1].close()
         self._clients.move_to_end(addr)
         return client
@@ -62,7 +87,7 @@
             return
         fresh = self._fresh()
         for machine in list(cluster.machines_with_pending_commands.values()):
-            if len(self._busy) >= constants.PUSH_AT_ONCE:
+            if len(self._busy) >= self._limits.in_flight:
                 return
             if machine.name in self._busy or self._pausing(machine.name, now, machine.seen_at):
                 continue
@@ -82,15 +107,25 @@
                 self._busy.add(machine.name)
                 nursery.start_soon(self._push, cluster, machine)
 
-    def probe(self, cluster: ClusterState, name: str, addr: str, nursery: trio.Nursery) -> None:
-        """Show our token to a machine of the roster: its answer is its state, with nothing older to come."""
-        if self._probing >= constants.PROBES_AT_ONCE or name in self._busy:
-            return
-        if self._pausing(name, trio.current_time(), float("-inf")) or not _usable(addr):
-            return
-        self._busy.add(name)
-        self._probing += 1
-        nursery.start_soon(self._probe, cluster, name, addr)
+    def probe_unconfirmed(self, cluster: ClusterState, nursery: trio.Nursery) -> None:
+        """Show our token to the machines of the roster that were not heard yet: an answer is the machine's state, with
+        nothing older to come. Each is tried again after a pause that grows."""
+        if self._probed is not cluster:
+            self._probed = cluster
+            self._probe_timers.clear()
+            for unheard in cluster.unconfirmed:
+                self._probe_timers.set_if_earlier(unheard, float("-inf"))
+        now = trio.current_time()
+        while self._probing < self._limits.probes and (name := self._probe_timers.pop_due(now)) is not None:
+            addr = cluster.unconfirmed_addresses.get(name, "")
+            if name not in cluster.unconfirmed or not _usable(addr):
+                continue
+            if name in self._busy:
+                self._probe_timers.set_if_earlier(name, now + constants.RETRY_S)
+                continue
+            self._busy.add(name)
+            self._probing += 1
+            nursery.start_soon(self._probe, cluster, name, addr)
 
     async def _push(self, cluster: ClusterState, machine: Machine) -> None:
         try:
@@ -145,6 +180,8 @@
         finally:
             self._busy.discard(name)
             self._probing -= 1
+            if name in cluster.unconfirmed and self._probed is cluster:
+                self._probe_timers.set_if_earlier(name, self._next_try(name))
 
     def _take(self, cluster: ClusterState, raw: bytes) -> None:
         try:
@@ -166,8 +203,15 @@
         now = trio.current_time()
         _, pause = self._failed.get(name, (now, constants.PUSH_BACKOFF_S / 2))
         self._failed[name] = now, min(constants.PUSH_BACKOFF_MAX_S, 2 * pause)
-        if len(self._failed) > 4 * self._keep:
-            self._failed = {n: (t, p) for n, (t, p) in self._failed.items() if t + p > now}
+        if now >= self._swept_at + constants.PUSH_BACKOFF_MAX_S:
+            self._swept_at = now
+            kept_since = now - 2 * constants.PUSH_BACKOFF_MAX_S
+            self._failed = {n: (t, p) for n, (t, p) in self._failed.items() if t > kept_since}
+
+    def _next_try(self, name: str) -> float:
+        """When the machine may be called again."""
+        failed_at, pause = self._failed.get(name, (trio.current_time(), constants.RETRY_S))
+        return failed_at + pause
 
 
 def _usable(addr: str) -> bool:
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -36,7 +36,7 @@
     Without `acting` (standstill) there are no orders; without a `fresh` view of the jobs, no starts."""
     if report.token > cluster.term:
         raise SupersededError(report.token)
-    if (report.session, report.sequence_number) <= cluster.tombstones.get(report.machine, (0, 0)):
+    if cluster.tombstones.covers(report.machine, report.session, report.sequence_number):
         return None  # a late copy: the machine is gone
     machine = cluster.machine(report.machine, report.machine_type, report.zone, report.spot, now)
     if report.session < machine.session or (
@@ -88,9 +88,7 @@
 def on_answer(cluster: ClusterState, report: messages.Report, now: float) -> None:
     """A worker's state in its answer to a direct call. It renews no lease, and since it may be older than the
     answer to a report in flight, what it lacks may yet be started: absence proves less than in a report."""
-    if report.token > cluster.term or (report.session, report.sequence_number) <= cluster.tombstones.get(
-        report.machine, (0, 0)
-    ):
+    if report.token > cluster.term or cluster.tombstones.covers(report.machine, report.session, report.sequence_number):
         return
     machine = cluster.machine(report.machine, report.machine_type, report.zone, report.spot, now)
     if (report.session, report.sequence_number) <= (machine.session, machine.sequence_number):
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -8,7 +8,7 @@
 
 from sorrelsill import constants
 from sorrelsill.http import Client, MaySend, NoAnswerError, always
-from sorrelsill.workers import Pusher
+from sorrelsill.workers import CallLimits, Pusher
 from tests.simulation import LOSS_S, OVERDUE_S, VALIDITY_S, LeaderInMemory, array_job, count_calls
 
 MACHINES = 930  # the largest fleet of the site files and half as many again
@@ -131,18 +131,18 @@
 
     async def main() -> None:
         leader = LeaderInMemory(300, roster=True)
-        pusher = Pusher(client, lambda: True, lambda: True, 400)
+        limits = CallLimits.derive(1600)
+        pusher = Pusher(client, lambda: True, lambda: True, limits)
         async with trio.open_nursery() as nursery:
             for _ in range(600):
-                for name, addr in leader.cluster.unconfirmed_addresses.items():
-                    pusher.probe(leader.cluster, name, addr, nursery)
-                assert len(pusher._busy) <= constants.PROBES_AT_ONCE < constants.PUSH_AT_ONCE
+                pusher.probe_unconfirmed(leader.cluster, nursery)
+                assert len(pusher._busy) <= limits.probes == 24 < limits.in_flight
                 await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     early, late = (sum(1 for t in asked if a <= t < a + 15) for a in (0, 45))
-    assert early >= 100 and late <= constants.PROBES_AT_ONCE * 15 / constants.PUSH_TIMEOUT_S
+    assert early >= 100 and late <= 24 * 15 / constants.PUSH_TIMEOUT_S
     assert len(asked) <= 300 * 5
 
 
@@ -165,7 +165,7 @@
 
     def calls(jobs: int) -> float:
         view = View.__new__(View)
-        View.__init__(view, _NoStore())  # type: ignore[arg-type]
+        View.__init__(view, _NoStore(), 60.0)  # type: ignore[arg-type]
         view.listeners = []
         for number in range(jobs):
             view.apply(job_key(f"run-{number}"), {"n": 0}, number + 1, True)
