The machine list is read between other calls; moves and rentals look at fewer machines

Need: at the cloud's rate of 1.2 calls a second the list of 4,000 machines takes 7 s, of 8,000 13 s. It was read in one go every 4 s, so a large fleet would have rented and returned next to nothing.

- MachineListReader reads one page at a time, between returns and rentals, and as seldom as half of the rate allows.
A list of one page is read as often as before.
The simulated cloud serves pages.
- Services that are moved together are only tried on machines that hold their image, and the room that stays ready is counted once instead of for each machine; the plan drops machines that earlier needs have filled.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -144,7 +144,8 @@
 # --- fleet ------------------------------------------------------------------------------------------
 CLOUD_SHARE: Final = 0.8  # ratio; of the cloud's rate that the leader plans to use
 CLOUD_TIMEOUT_S: Final = 5.0  # s; for an answer of the cloud
-LIST_EVERY_S: Final = 4.0  # s; between two readings of the machine list
+LIST_EVERY_S: Final = 4.0  # s; between two readings of the machine list, at the least ...
+LIST_SHARE: Final = 0.5  # ratio; ... and as seldom as its pages need to use this part of our rate at the most
 CATALOG_EVERY_S: Final = 60.0  # s; between two readings of the catalog once it is known
 NO_CAPACITY_S: Final = 8.0  # s; an offer that was refused is not asked again before this
 NO_CAPACITY_MAX_S: Final = 24.0  # s; the pause doubles with each refusal in a row up to this
--- a/sorrelsill/fleet/consolidate.py
+++ b/sorrelsill/fleet/consolidate.py
@@ -30,12 +30,49 @@
         self.memory -= sign * spec.memory
 
 
+class _SpareSlots:
+    """How many tasks of a service could start in each zone; room for one more service is to stay ready in all."""
+
+    def __init__(self, spare: JobSpec, zones: list[str]) -> None:
+        self._spec = spare
+        self._by_zone = dict.fromkeys(zones, 0)
+        self._counted: dict[str, int] = {}  # by machine
+
+    def count(self, room: _Room) -> None:
+        """Count the machine, anew if it was counted."""
+        self.uncount(room)
+        machine, spec = room.machine, self._spec
+        if machine.zone not in self._by_zone or not machine.allows(spec):
+            return
+        tasks = int(min(room.cpus / max(spec.cpus, 0.1), room.memory / max(spec.memory, 0.1)) + 1e-6)
+        self._counted[machine.name] = max(0, tasks)
+        self._by_zone[machine.zone] += self._counted[machine.name]
+
+    def uncount(self, room: _Room) -> None:
+        """The machine goes, or is counted anew."""
+        tasks = self._counted.pop(room.machine.name, 0)
+        if tasks:
+            self._by_zone[room.machine.zone] -= tasks
+
+    def enough(self) -> bool:
+        """Whether room for one more service is ready in every zone."""
+        return all(tasks >= self._spec.zone_limit for tasks in self._by_zone.values())
+
+
 class _Plan:
     """What is moved where, machine by machine."""
 
-    def __init__(self, usable: list[Machine], jobs: dict[str, Job]) -> None:
+    def __init__(self, usable: list[Machine], jobs: dict[str, Job], spare: _SpareSlots | None) -> None:
         self.jobs = jobs
-        self.rooms = sorted((_Room(h) for h in usable), key=lambda r: r.cpus)
+        self._spare = spare
+        self._rooms = {machine.name: _Room(machine) for machine in usable}
+        # A service moves to machines that hold its image alone, the fullest first; the others are not looked at.
+        self._by_image: dict[str, list[_Room]] = {}
+        for room in sorted(self._rooms.values(), key=lambda r: r.cpus):
+            for image in room.machine.images:
+                self._by_image.setdefault(image, []).append(room)
+            if spare is not None:
+                spare.count(room)
         self.zones: dict[str, dict[str, int]] = {}  # job -> zone -> tasks
         self.gone: set[str] = set()  # machines that are emptied
         self.targets: set[str] = set()  # machines that are moved to: these stay
@@ -57,6 +94,10 @@
             made.append((room, spec))
         self.gone.add(machine.name)
         self.targets.update(room.machine.name for room, _ in made)
+        if self._spare is not None:
+            self._spare.uncount(self._rooms[machine.name])
+            for room, _ in made:
+                self._spare.count(room)
         return True
 
     def _shift(self, spec: JobSpec, source: str, target: str) -> None:
@@ -68,7 +109,7 @@
         if spec.one_zone:
             return None
         zone = self.zones.setdefault(spec.job_id, dict(job.zones))
-        for room in self.rooms:
+        for room in self._by_image.get(spec.image, ()):
             target = room.machine
             left = 1 if target.zone == machine.zone else 0
             if (
@@ -76,24 +117,12 @@
                 and target.name not in self.gone
                 and room.fits(spec)
                 and target.allows(spec)
-                and spec.image in target.images
                 and zone.get(target.zone, 0) + 1 - left <= spec.zone_limit
                 and job.avoid.get(target.name, 0.0) <= 0.0
             ):
                 return room
         return None
 
-    def spares(self, spare: JobSpec | None, zones: list[str]) -> bool:
-        """Whether room for one more service is still ready in every zone."""
-        if spare is None:
-            return True
-        slots = dict.fromkeys(zones, 0)
-        for room in self.rooms:
-            if room.machine.name not in self.gone and room.machine.zone in slots and room.machine.allows(spare):
-                more = int(min(room.cpus / max(spare.cpus, 0.1), room.memory / max(spare.memory, 0.1)) + 1e-6)
-                slots[room.machine.zone] += max(0, more)
-        return all(n >= spare.zone_limit for n in slots.values())
-
 
 def machines_to_drain(
     machines: Iterable[Machine],
@@ -123,14 +152,15 @@
             continue
         found.append((machine.cpus / max(price(machine), 1e-9), machine))
     found.sort(key=lambda item: item[0])
-    plan = _Plan(usable, jobs)
+    slots = _SpareSlots(spare, zones) if spare is not None else None
+    plan = _Plan(usable, jobs, slots)
     out: list[Machine] = []
     for _, machine in found[: constants.DRAIN_TRIES * most]:
         if len(out) == most:
             break
         if machine.name in plan.targets or not plan.move(machine):
             continue
-        if not plan.spares(spare, zones):
+        if slots is not None and not slots.enough():
             break
         out.append(machine)
     return out
--- /dev/null
+++ b/sorrelsill/fleet/machine_list.py
@@ -0,0 +1,55 @@
+"""Reading the cloud's machine list, page by page, between other calls to the cloud.
+
+A large fleet's list takes many pages. Read in one go, at the cloud's rate, nothing could be rented or returned
+meanwhile; read as often as a small one, it would take the whole rate."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from sorrelsill import constants
+from sorrelsill.fleet.cloud import Cloud, CloudError
+
+log = logging.getLogger(__name__)
+
+Listing = dict[str, dict[str, Any]]  # machine -> what the list says of it
+
+
+class MachineListReader:
+    """One page at a time; a reading that fails begins anew at the next time."""
+
+    def __init__(self, cloud: Cloud) -> None:
+        self._cloud = cloud
+        self._found: Listing | None = None  # by the reading under way
+        self._last = ""  # the last machine of the page read last
+        self._pages = 0
+        self._begun_at = float("-inf")
+        self.interval_s = constants.LIST_EVERY_S  # between the beginnings of two readings
+
+    def due(self, now: float) -> bool:
+        """Whether the next page should be read."""
+        return self._found is not None or now - self._begun_at >= self.interval_s
+
+    async def read_page(self, now: float) -> Listing | None:
+        """Read the next page. The whole list, if that was its last page."""
+        if self._found is None:
+            self._found, self._last, self._pages = {}, "", 0
+            self._begun_at = now
+        target = f"/rentals?page={constants.LIST_PAGE}" + (f"&from={self._last}" if self._last else "")
+        try:
+            answer = await self._cloud.call("GET", target)
+            machines = answer.get("hosts") or []
+            for item in machines:
+                self._last = str(item["uid"])
+                self._found[self._last] = item
+        except (CloudError, KeyError, TypeError) as error:
+            log.info("machine list: %s", error)
+            self._found = None
+            return None
+        self._pages += 1
+        if answer.get("hasNext") and machines:
+            return None
+        found, self._found = self._found, None
+        self.interval_s = max(constants.LIST_EVERY_S, self._pages / (constants.LIST_SHARE * self._cloud.bucket.rate))
+        return found
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -16,6 +16,7 @@
 from sorrelsill.fleet.cloud import Cloud, CloudError
 from sorrelsill.fleet.consolidate import machines_to_drain
 from sorrelsill.fleet.demand import Demand, RoomToKeep
+from sorrelsill.fleet.machine_list import Listing, MachineListReader
 from sorrelsill.fleet.rentals import Offer, Pending, counted_on, given_up, plan
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
         prompt: set[str],
     ) -> None:
         self._cloud = cloud
+        self._list = MachineListReader(cloud)
         self._cluster = cluster
         self._valid = valid
         self._unplaced = unplaced
@@ -66,7 +68,6 @@
         self._refusals: dict[Offer, int] = {}
         self._open: list[_Rental] = []
         self._counter = 0
-        self._listed_at = float("-inf")
         self._catalog_at = float("-inf")
         self._lists = 0
         self._reported_at = float("-inf")
@@ -91,7 +92,7 @@
         if now - self._returns_at >= constants.PLAN_EVERY_S:
             self._returns_at = now
             self._choose_returns(now)
-        if now - self._listed_at >= constants.LIST_EVERY_S:
+        if self._list.due(now):
             await self._read_list()
         if not self._valid():
             return
@@ -117,26 +118,11 @@
         self.on_catalog(raw, catalog)
 
     async def _read_list(self) -> None:
-        self._listed_at = trio.current_time()
-        found: dict[str, dict[str, Any]] = {}
-        last = ""
-        try:
-            while True:
-                target = f"/rentals?page={constants.LIST_PAGE}" + (f"&from={last}" if last else "")
-                answer = await self._cloud.call("GET", target)
-                machines = answer.get("hosts") or []
-                for item in machines:
-                    last = str(item["uid"])
-                    found[last] = item
-                if not answer.get("hasNext") or not machines:
-                    break
-        except (CloudError, KeyError, TypeError) as error:
-            log.info("machine list: %s", error)
-            return
-        if self._valid():
+        found = await self._list.read_page(trio.current_time())
+        if found is not None and self._valid():
             self.take_list(found, trio.current_time())
 
-    def take_list(self, found: dict[str, dict[str, Any]], now: float) -> None:
+    def take_list(self, found: Listing, now: float) -> None:
         """The list lags: it adds machines not known and tells of failed ones; absence proves little."""
         self._lists += 1
         for name, item in found.items():
@@ -161,7 +147,7 @@
                 self.pending[name].booted_for = age
         for name in [n for n in self._running_since if n not in found]:
             del self._running_since[name]
-        patience = 3 * self._lag + constants.LIST_EVERY_S
+        patience = 3 * self._lag + self._list.interval_s
         self._returned = {n: at for n, at in self._returned.items() if now - at < 2 * patience}
         for name, pending in list(self.pending.items()):
             if name not in found and now - pending.since > patience:
--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -70,9 +70,12 @@
         if kind is not None:
             bins.append(_Bin((p.machine_type, p.zone, p.spot), kind.cpus, kind.gpus, kind.memory))
     wanted: dict[Offer, int] = {}
+    least_cpus = min((need.cpus for need in needs), default=0.0)
     for need in needs:
         zones = dict(need.zones)
         left = need.count
+        # Guards against hundreds of needs that each look at hundreds of machines which the first ones have filled.
+        bins = [b for b in bins if b.cpus + constants.AMOUNT_TOLERANCE >= least_cpus]
         for b in bins:
             if left <= 0:
                 break
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -14,6 +14,8 @@
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
 
+PAGE = 500  # machines; the most that one page of the list holds
+
 FLAVOUR = {
     "sku": "c8",
     "vcpus": 8,
@@ -42,6 +44,7 @@
         self.done: dict[str, list[str]] = {}  # request name -> its answer
         self.on_return: Callable[[str], None] = lambda name: None
         self.outage = False
+        self.page = PAGE  # machines in one answer
         self.never_boots: set[int] = set()  # machine numbers that stay booting
         self.boot_times: Callable[[int], float] = lambda number: 1.0  # of the published boot time, by machine number
         self.rented: list[tuple[float, int]] = []  # when, how many
@@ -94,9 +97,10 @@
             query = {k: v[0] for k, v in parse_qs(request.query).items()}
             now = trio.current_time()
             old = [m for m in self.machines.values() if now - m["born"] >= self.lag_s]
-            seen = [m for m in old if m["uid"] > query.get("from", "")]
-            machines = [{**m, "ageS": now - m["born"]} for m in seen]
-            return Reply(200, _encode({"hosts": machines, "hasNext": False}))
+            seen = sorted((m for m in old if m["uid"] > query.get("from", "")), key=lambda m: str(m["uid"]))
+            page = min(int(query.get("page", PAGE)), self.page)
+            machines = [{**m, "ageS": now - m["born"]} for m in seen[:page]]
+            return Reply(200, _encode({"hosts": machines, "hasNext": len(seen) > page}))
         if body["hireRef"] not in self.done:
             count = min(body["howMany"], self.capacity - len(self.machines))
             if count <= 0:
