--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -57,6 +57,8 @@
 TRY_BITS: Final = 24  # bits; attempt number = term shifted by this, plus a counter: grows across terms
 
 PUSH_TIMEOUT_S: Final = 2.0  # s; for a worker's answer to orders sent straight to it
+FIRST_PROBE_TIMEOUT_S: Final = 0.5  # s; the same for the first question to a machine after a takeover: most answer in
+#                                   milliseconds, and what hangs is asked again with more time
 PUSH_BACKOFF_S: Final = 2.0  # s; a machine that was not reached is left to its reports this long, twice as long ...
 PUSH_BACKOFF_MAX_S: Final = 16.0  # s; ... each time up to this: silence that lasts should cost ever less
 PUSH_AT_ONCE: Final = 96  # calls to workers in flight, at the least: dozens of machines that hang at once must not take
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -165,7 +165,9 @@
 
     async def _probe(self, cluster: ClusterState, name: str, addr: str) -> None:
         try:
-            status, raw = await self._client(addr).request("GET", "/status", b"", constants.PUSH_TIMEOUT_S)
+            # Guards against machines that hang: thousands of them would keep the probes from those that answer.
+            timeout_s = constants.PUSH_TIMEOUT_S if name in self._failed else constants.FIRST_PROBE_TIMEOUT_S
+            status, raw = await self._client(addr).request("GET", "/status", b"", timeout_s)
             if status != 200 or not self._valid():
                 return
             session = parse_report(raw).session
