The controller in parts, hooks given at construction; repeated probes leave room for first ones

controller/ holds the composition and loops, the users' routes, the workers' reports, the jobs out of the records, and what exists only in a term. Hooks are arguments. The two copies of the /promise call are one.

Cause mended on the way: with 0.5 s for the first question the test of lasting silence counted 192 probes in 15 s instead of at most 180, as repeated probes used all 24 slots. They may now use half of them, so first questions always find one; the test is unchanged.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -65,6 +65,7 @@
 #                           all of them ...
 PUSH_AT_ONCE_OF_SOCKETS: Final = 0.05  # ratio; ... and this part of the quota of sockets, which grows with the fleet
 PROBES_OF_PUSHES: Final = 0.25  # ratio; of the calls in flight, for probes: starts don't queue behind them
+REPEATED_PROBES: Final = 0.5  # ratio; of the probes, for machines that did not answer before
 OVERDUE_OF_REPORT: Final = 1.25  # ratio; the longest interval between reports, of the usual one ...
 OVERDUE_EXTRA_S: Final = 1.0  # s; ... and this on top: a machine silent for longer gets no new work and no calls
 PUSH_SOCKETS: Final = 0.25  # ratio; of the quota of sockets, for connections kept to workers
--- /dev/null
+++ b/sorrelsill/controller/__init__.py
@@ -0,0 +1,5 @@
+"""A controller: the slices put together, its routes, and its loops."""
+
+from sorrelsill.controller.controller import Controller
+
+__all__ = ["Controller"]
--- /dev/null
+++ b/sorrelsill/controller/followed_jobs.py
@@ -0,0 +1,96 @@
+"""Jobs out of the followed records: into a new leader's cluster state, and into that of the term as they change."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from sorrelsill import constants
+from sorrelsill.jobs import Cancellations, InvalidJobError, parse_record
+from sorrelsill.store import View
+from sorrelsill.workers import ClusterState
+
+log = logging.getLogger(__name__)
+
+
+class FollowedJobs:
+    """Reads the records of live jobs for the leader."""
+
+    def __init__(
+        self, view: View, cancellations: Cancellations, time_of_day: Callable[[], float], ended_window_s: float
+    ) -> None:
+        self._view = view
+        self._cancellations = cancellations
+        self._time_of_day = time_of_day
+        self._ended_window_s = ended_window_s  # cancelled tasks may live so long
+
+    def load(self, cluster: ClusterState) -> None:
+        """All live jobs into the cluster state of a term that begins, and what jobs lately over may still use."""
+        whole = True
+        for job_id, value, rev in self._view.jobs():
+            if not self._over(job_id):
+                whole &= self._add(cluster, job_id, value, rev)
+        # With a damaged record among them, what its tasks use can't be told.
+        cluster.expect_ended_jobs(self._lately_over() if whole else None)
+
+    def record_changed(self, cluster: ClusterState, job_id: str, value: Any, rev: int) -> bool:
+        """A job's record was written or removed. True if placing has to look at it."""
+        job = cluster.jobs.get(job_id)
+        if value is None:
+            if job is not None:
+                cluster.end_job(job_id)
+            return job is not None
+        if job is not None:
+            job.rev = max(job.rev, rev)
+            return False
+        if self._over(job_id):
+            return False
+        self._add(cluster, job_id, value, rev)
+        return True
+
+    def _over(self, job_id: str) -> bool:
+        """Whether the job is known to be over, whatever an older record says."""
+        return self._view.final(job_id) is not None or self._cancellations.known(job_id)
+
+    def _lately_over(self) -> list[tuple[str, float, float]] | None:
+        """What cancelled jobs may still run: every task is gone within `cancel_s` of the answer. None if this process
+        has not followed the records for long enough to know of all of them."""
+        ended = self._view.lately_over(self._ended_window_s)
+        if ended is None:
+            return None
+        out = []
+        for job_id, value in ended:
+            final = self._view.final(job_id)
+            if isinstance(final, dict) and final.get("p") == "done":
+                continue
+            try:
+                spec, done, _ = parse_record(value, self._view.chunks(job_id))
+            except (InvalidJobError, ValueError, TypeError):
+                return None
+            left = spec.shards - done.count
+            out.append((spec.team, left * spec.cpus, left * spec.gpus))
+        return out
+
+    def _add(self, cluster: ClusterState, job_id: str, value: Any, rev: int) -> bool:
+        try:
+            spec, done, why = parse_record(value, self._view.chunks(job_id))
+            accepted = float(value.get("t") or 0.0)
+        except (InvalidJobError, ValueError, TypeError) as error:
+            # Guards against one damaged record stopping all the others.
+            log.error("record of %s: %s", job_id, error)
+            return False
+        now = trio.current_time()
+        age = max(0.0, self._time_of_day() - accepted)
+        job = cluster.add_job(spec, done, rev, rev <= cluster.term, now - age, why, accepted)
+        # What the record says already need not be written again: after a takeover that would be one write a job.
+        running = value.get("r")
+        job.shown_running = running if isinstance(running, int) else 0
+        job.split |= bool(self._view.chunk_keys(job_id))
+        if job.split and value.get("d"):
+            # Written by the version before this one, which knows of no parts beside the record of a smaller job: what
+            # it adds stands only there, and has to go into the parts before the record leaves it out.
+            job.dirty_parts.update(range(-(-spec.shards // constants.PART_SHARDS)))
+        return True
--- /dev/null
+++ b/sorrelsill/controller/report_routes.py
@@ -0,0 +1,108 @@
+"""Answers to workers' reports: by the leader, in degraded mode, or with the way to the leader."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from sorrelsill.http import Reply, Request
+from sorrelsill.jobs import Cancellations
+from sorrelsill.leadership import Elector
+from sorrelsill.peers import DegradedMode
+from sorrelsill.store import View
+from sorrelsill.workers import ClusterState, InvalidReportError, Report, SupersededError, parse_report, stop_command
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def is_cancelled(final: Any) -> bool:
+    """Whether a final record says that its job was cancelled."""
+    return isinstance(final, dict) and final.get("p") == "cancelled"
+
+
+class ReportRoutes:
+    """The workers' side of a controller."""
+
+    def __init__(
+        self,
+        view: View,
+        elector: Elector,
+        degraded_mode: DegradedMode,
+        cancellations: Cancellations,
+        peers: set[str],
+        cluster: Callable[[], ClusterState | None],
+        fresh: Callable[[], bool],
+        count: Callable[[str], None],
+        news: Callable[[], None],
+    ) -> None:
+        self._view = view
+        self._elector = elector
+        self._degraded_mode = degraded_mode
+        self._cancellations = cancellations
+        self._peers = peers  # labels of the other controllers
+        self._cluster = cluster  # that of the present term, if we lead
+        self._fresh = fresh  # whether our view of the jobs is recent
+        self._count = count
+        self._news = news  # told after each report that was taken in
+
+    def answer(self, request: Request) -> Reply:
+        """Answer one report."""
+        try:
+            report = parse_report(request.body)
+        except InvalidReportError as error:
+            return Reply(400, _encode({"error": str(error)}))
+        self._count("reports")
+        log.debug("report: %s", report)
+        cluster = self._cluster()
+        acting = cluster is not None and self._elector.valid()
+        if not acting and not self._degraded_mode.active():
+            return self._redirect()
+        now = trio.current_time()
+        if not self._may_renew(now):
+            # What was cancelled meanwhile is not certain to be known here: the next controller may know.
+            self._count("not_renewed")
+            return Reply(503)
+        commands: list[dict[str, Any]] | None = []
+        if cluster is not None:
+            try:
+                commands = cluster.on_report(report, now, acting, self._fresh())
+            except SupersededError as error:
+                self._elector.superseded(error.token)
+                return Reply(421, _encode({}))
+            if commands is None:
+                return Reply(503)
+            self._news()
+        if cluster is None or not acting:
+            # Nobody leads and nobody can: the worker's own token; its lease goes on and nothing else does.
+            return Reply(200, _encode({"epoch": report.token, "orders": self._stop_commands(report, now)}))
+        # Only a report that is newer than all before makes the connection the machine's own: not a late copy.
+        return Reply(200, _encode({"epoch": cluster.term, "orders": commands}), owner=report.machine)
+
+    def _redirect(self) -> Reply:
+        # Guards against a process that stood still: its view may name a leader that has ended since.
+        label = self._elector.leader_label() if self._fresh() else None
+        return Reply(421, _encode({"upstream": label} if label in self._peers else {}))
+
+    def _may_renew(self, now: float) -> bool:
+        """The one rule for every answer that renews a worker's lease (`jobs/cancellations.py`)."""
+        self._cancellations.followed(self._view.followed_since, self._view.fresh_at)
+        return self._cancellations.may_renew(now)
+
+    def _stop_commands(self, report: Report, now: float) -> list[dict[str, Any]]:
+        """In degraded mode: tasks of jobs known to be cancelled still have to go. Stopping them is always right,
+        whoever leads next, and a worker takes it from any controller that names its token. A view that was read anew
+        not long ago lacks what was cancelled before, so what is not live in it is stopped as well."""
+        unknown = self._view.fresh_at > float("-inf") and self._cancellations.suspect_unknown(now)
+        out = []
+        for item in report.tasks:
+            job_id = item.task_id.rpartition("/")[0]
+            over = self._cancellations.known(job_id) or is_cancelled(self._view.final(job_id))
+            if item.phase != "exited" and (over or unknown and self._view.job(job_id) is None):
+                out.append(stop_command(item.task_id, item.attempt_number, 0.0))
+        return out
--- /dev/null
+++ b/sorrelsill/controller/user_routes.py
@@ -0,0 +1,69 @@
+"""The users' routes: submissions, polls, cancellations, a team's list."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from sorrelsill import constants
+from sorrelsill.http import Reply, Request
+from sorrelsill.jobs import Admission, BusyError
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder().decode
+_JOB = re.compile(r"/v2/runs/([^/]+)(/cancel|/why)?\Z")
+_TEAM = re.compile(r"/v2/teams/([^/]+)/runs\Z")
+
+Answer = tuple[int, dict[str, Any]]
+
+
+class UserRoutes:
+    """Each call is answered, or refused at once with the time to come back."""
+
+    def __init__(self, admission: Admission, count: Callable[[str], None]) -> None:
+        self._admission = admission
+        self._count = count
+
+    async def handle(self, request: Request) -> Reply | None:
+        """The answer, or None if the path is not one of the users'."""
+        path = request.path
+        if path == "/v2/runs":
+            return await self._only("POST", request, lambda: self._submit(request))
+        job = _JOB.match(path)
+        if job:
+            return await self._handle_job(request, job[1], job[2])
+        team = _TEAM.match(path)
+        if team:
+            after = parse_qs(request.query).get("after", [""])[0]
+            return await self._only("GET", request, lambda: self._admission.team(team[1], after))
+        return None
+
+    async def _handle_job(self, request: Request, job_id: str, action: str | None) -> Reply:
+        if action == "/cancel":
+            return await self._only("POST", request, lambda: self._admission.cancel(job_id))
+        if action == "/why":
+            return await self._only("GET", request, lambda: self._admission.why(job_id))
+        return await self._only("GET", request, lambda: self._admission.poll(job_id))
+
+    async def _only(self, method: str, request: Request, call: Callable[[], Awaitable[Answer]]) -> Reply:
+        if request.method != method:
+            return Reply(405)
+        try:
+            status, answer = await call()
+        except BusyError as busy:
+            # Never held back: the user is told at once when to come back.
+            self._count("busy")
+            return Reply(503, _encode({"error": str(busy)}), [("Retry-After", str(constants.RETRY_AFTER_S))])
+        self._count(f"answer_{status}")
+        return Reply(status, _encode(answer))
+
+    async def _submit(self, request: Request) -> Answer:
+        try:
+            body = _decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError):
+            return 400, {"error": "body: not MessagePack"}
+        return await self._admission.submit(body)
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -52,7 +52,10 @@
         hurried: bool,
         lag_s: float,
         prompt: set[str],
+        on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None,
+        on_drain: Callable[[], None] = lambda: None,
     ) -> None:
+        """`on_catalog` is told of each catalog read, `on_drain` that services were told to move."""
         self._cloud = cloud
         self._list = MachineListReader(cloud)
         self._cluster = cluster
@@ -77,8 +80,8 @@
         self._drained_at = float("-inf")
         self._planned_at = float("-inf")
         self._returns_at = float("-inf")
-        self.on_drain: Callable[[], None] = lambda: None  # halts are due
-        self.on_catalog: Callable[[dict[str, Any], Catalog], None] = lambda raw, catalog: None
+        self._on_drain = on_drain
+        self._on_catalog = on_catalog
 
     async def step(self) -> None:
         """One action at the most; what is most urgent goes first."""
@@ -115,7 +118,7 @@
             log.info("catalog: %s", error)
             self._catalog_at += constants.RETRY_S * 8 - constants.CATALOG_EVERY_S
             return
-        self.on_catalog(raw, catalog)
+        self._on_catalog(raw, catalog)
 
     async def _read_list(self) -> None:
         found = await self._list.read_page(trio.current_time())
@@ -281,7 +284,7 @@
             for attempt in list(machine.attempts.values()):
                 cluster.stop(attempt, "moved to a fuller machine", hurry=True)
         if machines:
-            self.on_drain()
+            self._on_drain()
 
     def _price(self, machine: Machine) -> float:
         kind = self._cluster.catalog.machine_types.get(machine.machine_type)
--- a/sorrelsill/jobs/record_writer.py
+++ b/sorrelsill/jobs/record_writer.py
@@ -65,14 +65,22 @@
 class RecordWriter:
     """One per term. A step writes what is due; whatever is not committed stays due."""
 
-    def __init__(self, store: Store, view: View, cluster: ClusterState, valid: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        view: View,
+        cluster: ClusterState,
+        valid: Callable[[], bool],
+        on_superseded: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`on_superseded` is told when the store says that another leader's term has begun."""
         self._store = store
         self._view = view
         self._cluster = cluster
         self._valid = valid
         self._alone = 0  # steps in which each change goes by itself, after a refusal
         self._aside: dict[str, float] = {}  # changes that were refused alone: until when they are left out
-        self.on_superseded: Callable[[], None] = lambda: None
+        self._on_superseded = on_superseded
 
     @property
     def set_aside(self) -> int:
@@ -114,7 +122,7 @@
             for undo in batch.undo:
                 undo()
             if txn is not None and LEADER in txn.failed:
-                self.on_superseded()
+                self._on_superseded()
             return False
         for after in batch.after:
             after(txn.rev)
--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -77,7 +77,12 @@
         watchdog: Watchdog,
         rng: random.Random,
         others: Sequence[str] = (),
+        on_term: Callable[[int | None], None] = lambda term: None,
+        hears_no_worker: Callable[[], bool] = lambda: False,
+        other_candidates: Callable[[str], Awaitable[bool]] = _nobody,
     ) -> None:
+        """`on_term` is told of each term that begins, and None when one ends; `hears_no_worker` says whether we lead
+        but hear no worker any more; `other_candidates` whether any but the former leader could take the key now."""
         self._store = store
         self._view = view
         self._t = timings
@@ -92,11 +97,11 @@
         self.since = float("-inf")  # when we learnt of our term
         self.bound_until = float("-inf")  # a promise to a peer: no acquiring and no acting before this
         self.acquire_after = float("-inf")  # a fresh process waits out what it may have promised before
-        self.hears_no_worker: Callable[[], bool] = lambda: False  # whether we lead but hear no worker any more
+        self._hears_no_worker = hears_no_worker
         self._ended: set[int] = set()  # leases of earlier processes of ours that we tried to end, once each
         self.acquiring = False  # a try for the key is under way, so no promise can be given
-        self.on_term: Callable[[int | None], None] = lambda term: None
-        self.other_candidates: Callable[[str], Awaitable[bool]] = _nobody
+        self._on_term = on_term
+        self._other_candidates = other_candidates
         self._changed = trio.Event()
         view.listeners.append(self._seen)
 
@@ -135,7 +140,7 @@
         self._lease = None
         self._good_ping = float("-inf")
         self._store.set_leading(False)
-        self.on_term(None)
+        self._on_term(None)
 
     def superseded(self, token: int) -> None:
         """A worker has seen a higher token: another controller leads, or led, after us."""
@@ -159,7 +164,7 @@
             log.error("yielding: loops stalled or exited: %s", ", ".join(out))
             await self._yield(lease)
             return
-        if self.valid() and self.hears_no_worker():
+        if self.valid() and self._hears_no_worker():
             # Only while valid: one that stood still itself heard nobody either; its pings tell whether it still leads.
             # Guards against a leader that reaches the store but not the workers: their leases would all run out.
             log.error("yielding: no worker is heard any more")
@@ -230,7 +235,7 @@
         costs them up to 5 s of their lease. With the former leader down, a leader right before it would, should it
         freeze or end as well, be two unreachable controllers away from the next: most of a lease. Any other is one."""
         former = self._former
-        if former is not None and former == self._next_label and await self.other_candidates(former):
+        if former is not None and former == self._next_label and await self._other_candidates(former):
             await trio.sleep(constants.ACQUIRE_DEFER_S)
 
     async def _end_former(self) -> bool:
@@ -291,4 +296,4 @@
         self._store.set_leading(True)
         self._view.apply(LEADER, value, term, True)
         log.info("leading, term %d, lease %.1f s", term, self._t.lease_s)
-        self.on_term(term)
+        self._on_term(term)
--- a/sorrelsill/peers/degraded_mode.py
+++ b/sorrelsill/peers/degraded_mode.py
@@ -16,6 +16,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import orjson
 import trio
@@ -38,7 +39,11 @@
         members: list[Member],
         client: Callable[[str], Client],
         cancellations: Cancellations,
+        on_bound: Callable[[float], None] = lambda until: None,
+        on_cancelled: Callable[[list[str]], None] = lambda job_ids: None,
     ) -> None:
+        """`on_bound` is told until when leases may be renewed by others, `on_cancelled` which jobs a peer knows to be
+        cancelled that we did not know of."""
         self._store = store
         self._cancellations = cancellations
         self._elector = elector
@@ -46,8 +51,8 @@
         self._labels = [m.label for m in members]
         self._held: dict[int, float] = {}  # peer -> until when its promise holds for us
         self._failing_peers: dict[int, float] = {}  # peer -> when it last said that it lacks the store too
-        self.on_bound: Callable[[float], None] = lambda until: None
-        self.on_cancelled: Callable[[list[str]], None] = lambda job_ids: None
+        self.on_bound = on_bound
+        self._on_cancelled = on_cancelled
 
     def active(self) -> bool:
         """Whether leases may be renewed right now: every member, ourselves included, is bound."""
@@ -93,13 +98,8 @@
 
         async def ask(client: Client) -> None:
             nonlocal found
-            body = orjson.dumps({"promise": False, **self._cancellations.ask(trio.current_time())})
-            try:
-                status, raw = await client.request("POST", "/promise", body, constants.ACQUIRE_DEFER_S)
-                answer = orjson.loads(raw) if status == 200 else {}
-            except (NotSentError, NoAnswerError, orjson.JSONDecodeError):
-                return
-            if isinstance(answer, dict) and "known" in answer:  # the version before this one sends no such field
+            answer = await self._call(client, False, constants.ACQUIRE_DEFER_S)
+            if answer is not None and "known" in answer:  # the version before this one sends no such field
                 found = True
                 nursery.cancel_scope.cancel()
 
@@ -109,6 +109,17 @@
                     nursery.start_soon(ask, client)
         return found
 
+    async def _call(self, client: Client, promise: bool, timeout_s: float) -> dict[str, Any] | None:
+        """Ask a peer, for a promise or only for what it knows; None if there is no proper answer."""
+        body = orjson.dumps({"promise": promise, **self._cancellations.ask(trio.current_time())})
+        try:
+            status, raw = await client.request("POST", "/promise", body, timeout_s)
+            answer = orjson.loads(raw) if status == 200 else None
+        except (NotSentError, NoAnswerError, orjson.JSONDecodeError) as error:
+            log.debug("promise of %s: %s", client.addr, error)
+            return None
+        return answer if isinstance(answer, dict) else None
+
     async def run(self) -> None:
         while True:
             if self._failing() and not self._elector.acquiring:
@@ -122,20 +133,14 @@
 
     async def _ask(self, number: int, client: Client) -> None:
         sent_at = trio.current_time()
-        try:
-            body = orjson.dumps({"promise": True, **self._cancellations.ask(sent_at)})
-            status, raw = await client.request("POST", "/promise", body, constants.PEER_TIMEOUT_S)
-            answer = orjson.loads(raw) if status == 200 else {}
-        except (NotSentError, NoAnswerError, orjson.JSONDecodeError) as error:
-            log.debug("promise of %s: %s", client.addr, error)
-            return
-        if not isinstance(answer, dict):
+        answer = await self._call(client, True, constants.PEER_TIMEOUT_S)
+        if answer is None:
             return
         # Before its promise counts: what is renewed on it rests on what the peer knows.
         new = self._cancellations.take(number, answer.get("known"), sent_at, trio.current_time())
         if new:
             log.info("a peer knows of %d cancellations that we did not", len(new))
-            self.on_cancelled(new)
+            self._on_cancelled(new)
         if answer.get("failing"):
             self._failing_peers[number] = trio.current_time()
         if answer.get("promised"):
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -28,13 +28,14 @@
 
 LEADER = "s/leader"
 CATALOG = "s/catalog"
-_JOB, _CHUNK, _PART, _FINAL, _ROSTER = "s/j/", "s/d/", "s/e/", "s/f/", "s/m/"
+JOB_PREFIX = "s/j/"
+_CHUNK, _PART, _FINAL, _ROSTER = "s/d/", "s/e/", "s/f/", "s/m/"
 
 Listener = Callable[[str, Any, int], None]
 
 
 def job_key(job_id: str) -> str:
-    return _JOB + job_id
+    return JOB_PREFIX + job_id
 
 
 def final_key(job_id: str) -> str:
@@ -57,7 +58,13 @@
 class View:
     """Live keys in memory; final records only in a bounded cache, since they are kept for ever."""
 
-    def __init__(self, store: Store, keep_ended_s: float) -> None:
+    def __init__(
+        self,
+        store: Store,
+        keep_ended_s: float,
+        on_final: Callable[[str, Any], None] = lambda job_id, value: None,
+    ) -> None:
+        """`on_final` is told of each final state as it is learnt of."""
         self._store = store
         self._keep_ended_s = keep_ended_s  # how long jobs that are over are remembered
         self.keys: dict[str, tuple[Any, int]] = {}
@@ -72,7 +79,7 @@
         self.loaded = False
         self.fresh_at = float("-inf")  # the view holds everything committed before this moment
         self.listeners: list[Listener] = []
-        self.on_final: Callable[[str, Any], None] = lambda job_id, value: None  # each final state as it is learnt of
+        self._on_final = on_final
         self._removed: dict[str, int] = {}  # keys that are gone by changes that the view has not gone past yet
         self._barrier_gap = 1.0 / max(1.0, constants.BARRIER_RATE_OF_RPS * store.requests.rate * 3)
         self._last_barrier = float("-inf")
@@ -82,10 +89,10 @@
     # --- what the keys hold ---
 
     def job(self, job_id: str) -> tuple[Any, int] | None:
-        return self.keys.get(_JOB + job_id)
+        return self.keys.get(JOB_PREFIX + job_id)
 
     def jobs(self) -> list[tuple[str, Any, int]]:
-        return [(k[len(_JOB) :], v, r) for k, (v, r) in self.keys.items() if k.startswith(_JOB)]
+        return [(k[len(JOB_PREFIX) :], v, r) for k, (v, r) in self.keys.items() if k.startswith(JOB_PREFIX)]
 
     def chunks(self, job_id: str) -> list[tuple[int, Any]]:
         """Finished tasks kept beside a job's record: from which task on, and their text."""
@@ -102,7 +109,7 @@
 
     def orphans(self) -> list[str]:
         """Jobs that are over and left such keys: their end had no room for the removal of all."""
-        return [job_id for job_id in self._chunk_keys if _JOB + job_id not in self.keys]
+        return [job_id for job_id in self._chunk_keys if JOB_PREFIX + job_id not in self.keys]
 
     def roster_parts(self, machine: str) -> dict[str, tuple[dict[str, Any], int]]:
         """The keys, with value and revision, in which a machine's entry may stand."""
@@ -126,7 +133,7 @@
 
     def remember_final(self, job_id: str, value: Any) -> None:
         self.finals[job_id] = value
-        self.on_final(job_id, value)
+        self._on_final(job_id, value)
         while len(self.finals) > constants.FINAL_CACHE:
             self.finals.popitem(last=False)
 
@@ -145,8 +152,8 @@
             return
         if self._removed.get(key, -1) >= rev:
             # A job that was cancelled here before the watch told of it. Its tasks may run on for a while all the same.
-            if present and key.startswith(_JOB) and key[len(_JOB) :] not in self.ended:
-                self._note_over(key[len(_JOB) :], value)
+            if present and key.startswith(JOB_PREFIX) and key[len(JOB_PREFIX) :] not in self.ended:
+                self._note_over(key[len(JOB_PREFIX) :], value)
             return
         if not present:
             # Found by reading: a job cancelled here before the watch told of it came back with a watch answer that was
@@ -169,9 +176,9 @@
             self._chunk_keys[job_id].discard(key)
             if not self._chunk_keys[job_id]:
                 del self._chunk_keys[job_id]
-        if not key.startswith(_JOB):
+        if not key.startswith(JOB_PREFIX):
             return
-        self._note_over(key[len(_JOB) :], value)
+        self._note_over(key[len(JOB_PREFIX) :], value)
 
     def _note_over(self, job_id: str, value: Any) -> None:
         now = trio.current_time()
@@ -192,7 +199,7 @@
         fresh: dict[str, tuple[Any, int]] = {}
         sent_at = trio.current_time()
         since: int | None = None
-        for prefix in (_JOB, _CHUNK, _PART, _ROSTER, LEADER, CATALOG):
+        for prefix in (JOB_PREFIX, _CHUNK, _PART, _ROSTER, LEADER, CATALOG):
             found, rev = await self._store.scan(prefix)
             since = rev if since is None else min(since, rev)
             fresh.update(found)
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -56,20 +56,28 @@
     """One call in flight per machine, a bounded number in all; a machine that fails is left alone a while."""
 
     def __init__(
-        self, client: Callable[[str], Client], valid: Callable[[], bool], fresh: Callable[[], bool], limits: CallLimits
+        self,
+        client: Callable[[str], Client],
+        valid: Callable[[], bool],
+        fresh: Callable[[], bool],
+        limits: CallLimits,
+        on_news: Callable[[], None] = lambda: None,
     ) -> None:
+        """`on_news` is told after each answer that was taken in."""
         self._make = client
         self._limits = limits
         self._valid = valid
         self._fresh = fresh
         self._clients: OrderedDict[str, Client] = OrderedDict()
         self._busy: set[str] = set()
-        self._probing = 0
+        self._probing = 0  # probes in flight ...
+        self._repeating = 0  # ... and those of them to machines that did not answer before
         self._failed: dict[str, tuple[float, float]] = {}  # machine -> when a call failed, and the pause after it
         self._swept_at = float("-inf")
         self._probed: ClusterState | None = None  # whose machines are probed
-        self._probe_timers: Timers[str] = Timers()  # when machines not heard yet are probed next
-        self.on_news: Callable[[], None] = lambda: None
+        self._not_probed: deque[str] = deque()
+        self._probe_again: Timers[str] = Timers()  # when machines that did not answer are probed next
+        self._on_news = on_news
 
     def _client(self, addr: str) -> Client:
         client = self._clients.get(addr)
@@ -109,23 +117,33 @@
 
     def probe_unconfirmed(self, cluster: ClusterState, nursery: trio.Nursery) -> None:
         """Show our token to the machines of the roster that were not heard yet: an answer is the machine's state, with
-        nothing older to come. Each is tried again after a pause that grows."""
+        nothing older to come. Each is tried again after a pause that grows; what did not answer before never keeps
+        those from being asked that were not asked yet."""
         if self._probed is not cluster:
             self._probed = cluster
-            self._probe_timers.clear()
-            for unheard in cluster.unconfirmed:
-                self._probe_timers.set_if_earlier(unheard, float("-inf"))
+            self._not_probed = deque(cluster.unconfirmed)
+            self._probe_again.clear()
+        limit = self._limits.probes
+        while self._not_probed and self._probing < limit:
+            self._start_probe(cluster, self._not_probed.popleft(), nursery)
         now = trio.current_time()
-        while self._probing < self._limits.probes and (name := self._probe_timers.pop_due(now)) is not None:
-            addr = cluster.unconfirmed_addresses.get(name, "")
-            if name not in cluster.unconfirmed or not _usable(addr):
-                continue
-            if name in self._busy:
-                self._probe_timers.set_if_earlier(name, now + constants.RETRY_S)
-                continue
-            self._busy.add(name)
-            self._probing += 1
-            nursery.start_soon(self._probe, cluster, name, addr)
+        while self._repeating < limit * constants.REPEATED_PROBES and self._probing < limit:
+            name = self._probe_again.pop_due(now)
+            if name is None:
+                break
+            self._start_probe(cluster, name, nursery, repeated=True)
+
+    def _start_probe(self, cluster: ClusterState, name: str, nursery: trio.Nursery, repeated: bool = False) -> None:
+        addr = cluster.unconfirmed_addresses.get(name, "")
+        if name not in cluster.unconfirmed or not _usable(addr):
+            return
+        if name in self._busy:
+            self._probe_again.set_if_earlier(name, trio.current_time() + constants.RETRY_S)
+            return
+        self._busy.add(name)
+        self._probing += 1
+        self._repeating += repeated
+        nursery.start_soon(self._probe, cluster, name, addr, repeated)
 
     async def _push(self, cluster: ClusterState, machine: Machine) -> None:
         try:
@@ -163,10 +181,10 @@
         """Whether commands may still go out: with starts only while the view of the jobs is fresh as well."""
         return lambda: self._valid() and (not starts or self._fresh())
 
-    async def _probe(self, cluster: ClusterState, name: str, addr: str) -> None:
+    async def _probe(self, cluster: ClusterState, name: str, addr: str, repeated: bool) -> None:
         try:
             # Guards against machines that hang: thousands of them would keep the probes from those that answer.
-            timeout_s = constants.PUSH_TIMEOUT_S if name in self._failed else constants.FIRST_PROBE_TIMEOUT_S
+            timeout_s = constants.PUSH_TIMEOUT_S if repeated else constants.FIRST_PROBE_TIMEOUT_S
             status, raw = await self._client(addr).request("GET", "/status", b"", timeout_s)
             if status != 200 or not self._valid():
                 return
@@ -182,8 +200,9 @@
         finally:
             self._busy.discard(name)
             self._probing -= 1
+            self._repeating -= repeated
             if name in cluster.unconfirmed and self._probed is cluster:
-                self._probe_timers.set_if_earlier(name, self._next_try(name))
+                self._probe_again.set_if_earlier(name, self._next_try(name))
 
     def _take(self, cluster: ClusterState, raw: bytes) -> None:
         try:
@@ -193,7 +212,7 @@
             return
         if self._valid():
             cluster.on_answer(report, trio.current_time())
-            self.on_news()
+            self._on_news()
 
     def _pausing(self, name: str, now: float, seen_at: float) -> bool:
         """Whether the machine is still left alone after a call that failed; not once it has reported since."""
--- a/tests/scenarios/test_ordinary.py
+++ b/tests/scenarios/test_ordinary.py
@@ -207,9 +207,9 @@
         first = set(simulation.cloud.machines)
         await simulation.until(lambda: not simulation.cloud.machines)
         leader = simulation.nodes[await simulation.until_leader()]
-        assert leader.fleet is not None
+        assert leader.leading is not None
         ghosts = {name: {"phase": "running", "flavour": "c8", "region": "a", "ageS": 20.0} for name in first}
-        leader.fleet.take_list(ghosts, trio.current_time())
-        assert leader.fleet.pending == {}
+        leader.leading.fleet.take_list(ghosts, trio.current_time())
+        assert leader.leading.fleet.pending == {}
 
     run_scenario(scenario)
