--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -126,7 +126,7 @@
             self.settings.facts.workers.gang_peer_s,
         )
         cluster.renewed_by_others = min(now, self.elector.bound_until)
-        cluster.expect_machines(self.view.roster())
+        cluster.takeover.expect_machines(self.view.roster())
         self.followed_jobs.load(cluster)
         self.leading = Leading(cluster, self._make_fleet(cluster), self._make_record_writer(cluster))
         self.placer.reset()
@@ -256,7 +256,7 @@
             "store_failing_s": round(self.store.failing_for(), 2),
             "jobs": len(cluster.jobs) if cluster else None,
             "hosts": len(cluster.machines) if cluster else None,
-            "unheard": len(cluster.unconfirmed) if cluster else None,
+            "unheard": len(cluster.takeover.unconfirmed) if cluster else None,
             "unplaced": sum(u.count for u in self.placer.unplaced.values()) if cluster else None,
             "groups": len(cluster.groups) if cluster else None,
             "groups_waiting": sum(1 for j in cluster.groups.values() if not j.running()) if cluster else None,
--- a/sorrelsill/controller/followed_jobs.py
+++ b/sorrelsill/controller/followed_jobs.py
@@ -34,7 +34,7 @@
             if not self._over(job_id):
                 whole &= self._add(cluster, job_id, value, rev)
         # With a damaged record among them, what its tasks use can't be told.
-        cluster.expect_ended_jobs(self._lately_over() if whole else None)
+        cluster.takeover.expect_ended_jobs(self._lately_over() if whole else None)
 
     def record_changed(self, cluster: ClusterState, job_id: str, value: Any, rev: int) -> bool:
         """A job's record was written or removed. True if placing has to look at it."""
--- a/sorrelsill/fleet/machine_list.py
+++ b/sorrelsill/fleet/machine_list.py
@@ -6,14 +6,27 @@
 from __future__ import annotations
 
 import logging
-from typing import Any
+
+import msgspec
 
 from sorrelsill import constants
 from sorrelsill.fleet.cloud import Cloud, CloudError
 
 log = logging.getLogger(__name__)
 
-Listing = dict[str, dict[str, Any]]  # machine -> what the list says of it
+
+class ListedMachine(msgspec.Struct, frozen=True):
+    """What the list says of a machine, under the names of the wire."""
+
+    name: str = msgspec.field(name="uid")
+    phase: str = ""
+    machine_type: str = msgspec.field(name="flavour", default="")
+    zone: str = msgspec.field(name="region", default="")
+    spot: bool = msgspec.field(name="reclaimable", default=False)
+    age_s: float = msgspec.field(name="ageS", default=0.0)
+
+
+Listing = dict[str, ListedMachine]  # by machine
 
 
 class MachineListReader:
@@ -39,14 +52,14 @@
         target = f"/rentals?page={constants.LIST_PAGE}" + (f"&from={self._last}" if self._last else "")
         try:
             answer = await self._cloud.call("GET", target)
-            machines = answer.get("hosts") or []
-            for item in machines:
-                self._last = str(item["uid"])
-                self._found[self._last] = item
-        except (CloudError, KeyError, TypeError) as error:
+            machines = msgspec.convert(answer.get("hosts") or [], list[ListedMachine])
+        except (CloudError, msgspec.ValidationError) as error:
             log.info("machine list: %s", error)
             self._found = None
             return None
+        for machine in machines:
+            self._found[machine.name] = machine
+            self._last = machine.name
         self._pages += 1
         if answer.get("hasNext") and machines:
             return None
--- a/sorrelsill/fleet/manager.py
+++ b/sorrelsill/fleet/manager.py
@@ -128,26 +128,23 @@
     def take_list(self, found: Listing, now: float) -> None:
         """The list lags: it adds machines not known and tells of failed ones; absence proves little."""
         self._lists += 1
-        for name, item in found.items():
-            phase = item.get("phase")
+        for name, listed in found.items():
             machine = self._cluster.machines.get(name)
-            if phase == "failed":
+            if listed.phase == "failed":
                 self._cluster.gone_for_certain(name, now, "machine failed")
                 self.pending.pop(name, None)
                 self._give_back[name] = "failed"
                 continue
-            if phase == "running":
+            if listed.phase == "running":
                 self._running_since.setdefault(name, now)
             if name in self._returned:
                 self._returned[name] = now
                 continue  # gone; the list will say so later
-            age = float(item.get("ageS") or 0.0)
             if machine is None and name not in self.pending and name not in self._give_back:
-                self.pending[name] = Pending(
-                    name, str(item.get("flavour")), str(item.get("region")), bool(item.get("reclaimable")), now - age
-                )
-            if phase == "booting" and name in self.pending:
-                self.pending[name].booted_for = age
+                since = now - listed.age_s
+                self.pending[name] = Pending(name, listed.machine_type, listed.zone, listed.spot, since)
+            if listed.phase == "booting" and name in self.pending:
+                self.pending[name].booted_for = listed.age_s
         for name in [n for n in self._running_since if n not in found]:
             del self._running_since[name]
         patience = 3 * self._lag + self._list.interval_s
@@ -199,7 +196,7 @@
             if machine.name not in self._give_back:
                 self._choose_return(machine, keep, now)
         for name, pending in self.pending.items():
-            if name in self._cluster.unconfirmed:
+            if name in self._cluster.takeover.unconfirmed:
                 continue
             up = self._running_since.get(name)
             if given_up(pending, self._boots, self._cluster.catalog, now, self._cluster.started):
@@ -270,7 +267,7 @@
         if self._hurried or self._open or now - self._drained_at < constants.DRAIN_EVERY_S:
             return
         few = int(constants.DRAIN_SHARE * len(cluster.index.ready))
-        if len(self.pending) > few or cluster.unconfirmed:
+        if len(self.pending) > few or cluster.takeover.unconfirmed:
             return
         if any(u.count for u in self._unplaced()) or any(h.draining for h in cluster.machines.values()):
             return
--- a/sorrelsill/fleet/test_plan.py
+++ b/sorrelsill/fleet/test_plan.py
@@ -94,7 +94,7 @@
             cluster.bind(lesser, lesser.next_task() or 0, machine, 1.0)
         elif rng.random() < 0.5 and machine.attempts:
             attempt = rng.choice(list(machine.attempts.values()))
-            cluster.leave(attempt)
+            cluster.attempts.leave(attempt)
             cluster.unbind(attempt, 2.0)
         elif rng.random() < 0.9:
             machine.overdue = not machine.overdue
--- a/sorrelsill/jobs/__init__.py
+++ b/sorrelsill/jobs/__init__.py
@@ -14,6 +14,7 @@
     parse_record,
     record_value,
 )
+from sorrelsill.jobs.roster import RosterEntry
 
 __all__ = [
     "GANG",
@@ -24,6 +25,7 @@
     "BusyError",
     "Cancellations",
     "RecordWriter",
+    "RosterEntry",
     "TaskSet",
     "JobSpec",
     "chunk_value",
--- a/sorrelsill/jobs/record_writer.py
+++ b/sorrelsill/jobs/record_writer.py
@@ -16,7 +16,7 @@
 
 from sorrelsill import constants
 from sorrelsill.jobs.records import chunk_value, final_record, json_size, record_value, with_notes
-from sorrelsill.jobs.roster import RosterWrite, next_write
+from sorrelsill.jobs.roster import RosterEntry, RosterWrite, next_write
 from sorrelsill.store import (
     LEADER,
     AmbiguousError,
@@ -167,7 +167,7 @@
         for base, one in sorted(bases.items()):
             machines = add.get(base, {})
             parts = self._view.roster_parts(one)
-            entries = {n: {"f": h.machine_type, "a": h.addr, "z": h.zone, "s": h.spot} for n, h in machines.items()}
+            entries = {n: RosterEntry(h.machine_type, h.addr, h.zone, h.spot).to_stored() for n, h in machines.items()}
             values = {key: value for key, (value, _) in parts.items()}
             # Further keys only once the store refuses longer values: a leader of the former version that finds a
             # machine in two of them never takes it for heard.
@@ -234,7 +234,7 @@
     def _record(self, batch: _Batch, job: Job) -> bool:
         cluster, spec, store = self._cluster, job.spec, self._store
         job_id = spec.job_id
-        results = cluster.unrecorded(job_id)
+        results = cluster.attempts.unrecorded(job_id)
         if job.done.count == spec.shards and not spec.endless:
             # What finds no room of its parts is removed later, as an orphan.
             parts_gone = [Remove(key) for key in self._view.chunk_keys(job_id)][: max(0, batch.ops - 3)]
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -112,7 +112,7 @@
     def _place_job(self, placing: Round, job: Job) -> bool:
         """False if the round's time is used up before the job was seen whole."""
         self.unplaced.pop(job.spec.job_id, None)
-        if not placing.cluster.settled(job) or job.failures.next_trial_at > placing.now:
+        if not placing.cluster.takeover.settled(job) or job.failures.next_trial_at > placing.now:
             return True
         if job.spec.whole:
             self._place_group(placing, job)
@@ -219,7 +219,7 @@
     def _place_group(self, placing: Round, job: Job) -> None:
         """All tasks at once, under one attempt number, or none: nothing is bound before all have their place."""
         cluster, now, spec = placing.cluster, placing.now, job.spec
-        if job.bound or cluster.alive(spec.job_id):
+        if job.bound or cluster.attempts.alive(spec.job_id):
             return  # what is left of the last start is ending; its places and its zone are not free before
         if not self._teams.allows(cluster, spec, job.waiting):
             self.unplaced[spec.job_id] = Unplaced(job, job.waiting, True)
--- a/sorrelsill/placement/test_engine.py
+++ b/sorrelsill/placement/test_engine.py
@@ -81,7 +81,7 @@
     place(cluster)
     machine = at(work)[0]
     assert (
-        cluster.by_job["run-a"] == set(work.bound.values())
+        cluster.attempts.by_job["run-a"] == set(work.bound.values())
         and machine.live == 4
         and cluster.unaccounted("red") == (0.0, 0.0)
     )
@@ -90,7 +90,7 @@
     cluster.gone_for_certain(machine.name, 2.0, "returned")
     assert (
         cluster.team_cpus["red"] == 0.0
-        and "run-a" not in cluster.by_job
+        and "run-a" not in cluster.attempts.by_job
         and machine.name not in cluster.machines_with_pending_commands
     )
 
--- a/sorrelsill/placement/test_job_queue.py
+++ b/sorrelsill/placement/test_job_queue.py
@@ -83,7 +83,7 @@
                 self.cluster.bind(each, index, machine, self.now)
             elif each.bound:
                 attempt = self.rng.choice(list(each.bound.values()))
-                self.cluster.leave(attempt)
+                self.cluster.attempts.leave(attempt)
                 self.cluster.unbind(attempt, self.now)
         if self.cluster.jobs and self.rng.random() < 0.4:
             self.cluster.end_job(self.rng.choice(list(self.cluster.jobs)))
--- /dev/null
+++ b/sorrelsill/workers/attempt_index.py
@@ -0,0 +1,57 @@
+"""All attempts that are on machines as far as is known, by job, and machines with tasks of no live job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.attempt import Attempt
+    from sorrelsill.workers.machine import Machine
+
+
+class AttemptIndex:
+    """Follows what is entered on machines and leaves them."""
+
+    def __init__(self) -> None:
+        self.by_job: dict[str, set[Attempt]] = {}  # exited ones too
+        self.machines_with_unknown: dict[str, Machine] = {}  # with tasks of jobs that are over or unknown
+
+    def enter(self, attempt: Attempt) -> None:
+        """An attempt is on a machine, as far as is known."""
+        attempt.machine.attempts[attempt.key] = attempt
+        self.by_job.setdefault(attempt.job_id, set()).add(attempt)
+        self.count_unknown(attempt, 1)
+
+    def leave(self, attempt: Attempt) -> None:
+        """It is on no machine any more, nor reported."""
+        del attempt.machine.attempts[attempt.key]
+        mine = self.by_job.get(attempt.job_id)
+        if mine is not None:
+            mine.discard(attempt)
+            if not mine:
+                del self.by_job[attempt.job_id]
+        if not attempt.exited:
+            self.count_unknown(attempt, -1)
+
+    def count_unknown(self, attempt: Attempt, change: int) -> None:
+        """Tasks that no live job accounts for still run, and still count toward their team's limit."""
+        if attempt.spec is not None:
+            return
+        machine = attempt.machine
+        machine.unknown += change
+        if machine.unknown > 0:
+            self.machines_with_unknown[machine.name] = machine
+        else:
+            self.machines_with_unknown.pop(machine.name, None)
+
+    def of_job(self, job_id: str) -> set[Attempt]:
+        """All attempts of a job that are on machines, exited ones too."""
+        return self.by_job.get(job_id, set())
+
+    def alive(self, job_id: str) -> bool:
+        """Whether any attempt of the job may still be on a machine, one too many included."""
+        return any(not attempt.exited for attempt in self.of_job(job_id))
+
+    def unrecorded(self, job_id: str) -> list[Attempt]:
+        """Exited attempts whose result the next write of the record will hold."""
+        return [a for a in self.of_job(job_id) if a.exited and not a.clearable]
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -1,4 +1,4 @@
-"""The leader's ledger: jobs, machines, and the attempts bound to machines. Pure: no I/O, time is given.
+"""The leader's view of the cluster: jobs, machines, and the attempts bound to machines. Pure: no I/O, time is given.
 
 The rule behind everything: an attempt is bound to (machine, session) from before its start is first sent
 until it is *proved* gone. Proofs are: the worker reports it exited; the worker reports a later session;
@@ -18,8 +18,9 @@
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.jobs import JobSpec, TaskSet
 from sorrelsill.timers import Timers
-from sorrelsill.workers import commands, groups, loss, messages, reports
+from sorrelsill.workers import groups, loss, messages, reports
 from sorrelsill.workers.attempt import Attempt
+from sorrelsill.workers.attempt_index import AttemptIndex
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.machine_index import MachineIndex
@@ -54,7 +55,7 @@
         self.machines: dict[str, Machine] = {}
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
-        self.by_job: dict[str, set[Attempt]] = {}  # all attempts on machines, exited ones too, by their job
+        self.attempts = AttemptIndex()
         self.index = MachineIndex()
         self.silence: Timers[Machine] = Timers()  # when machines are looked at for silence
         self.to_roster: dict[str, Machine] = {}  # machines whose roster entry has to be written
@@ -63,7 +64,6 @@
             str, Machine
         ] = {}  # machines that may have orders not sent to them yet
         self.evicting: dict[str, Machine] = {}  # machines with a notice
-        self.unknown: dict[str, Machine] = {}  # machines with tasks of jobs that are over or unknown
         self.tombstones = Tombstones()
         self.unreachable_after_s = loss_s / 2
         self.expired_at = float("-inf")
@@ -90,18 +90,6 @@
         reports.on_answer(self, report, now)
         loss.watch_for_silence(self, report.machine)
 
-    def commands(self, machine: Machine, fresh: bool, now: float) -> list[dict[str, Any]]:
-        """What a machine's worker is to be told in the answer to its report."""
-        return commands.commands(self, machine, fresh, now)
-
-    def has_direct_commands(self, machine: Machine, fresh: bool) -> bool:
-        """Whether a machine is due commands that were not sent yet."""
-        return commands.has_direct_commands(self, machine, fresh)
-
-    def take_direct_commands(self, machine: Machine, fresh: bool) -> tuple[list[dict[str, Any]], list[Attempt]]:
-        """Commands not sent yet, for one direct call, and the attempts that it starts."""
-        return commands.take_direct_commands(self, machine, fresh)
-
     def expire_leases(self, now: float) -> list[Machine]:
         """Declare lost what has been silent for longer than the workers' lease."""
         return loss.expire_leases(self, now)
@@ -114,31 +102,9 @@
         """Move work off machines that are about to be taken back."""
         loss.drain(self, now)
 
-    @property
-    def unconfirmed(self) -> dict[str, Any]:
-        """Registered machines not yet heard with our token."""
-        return self.takeover.unconfirmed
-
-    @property
-    def unconfirmed_addresses(self) -> dict[str, str]:
-        """Their addresses, as far as they are registered."""
-        return self.takeover.unconfirmed_addresses
-
-    def expect_machines(self, roster: Iterable[tuple[str, Any]]) -> None:
-        """Machines that an earlier leader may have given work."""
-        self.takeover.expect_machines(roster)
-
-    def expect_ended_jobs(self, ended: list[tuple[str, float, float]] | None) -> None:
-        """What jobs lately over may still use; None if that is not known."""
-        self.takeover.expect_ended_jobs(ended)
-
-    def settled(self, job: Job) -> bool:
-        """Whether everything an earlier leader may have started of a job is accounted for."""
-        return self.takeover.settled(job)
-
     def unaccounted(self, team: str) -> tuple[float, float]:
         """CPUs and GPUs that tasks of a team may be using unseen, which count toward its limit."""
-        return self.takeover.unaccounted(team, self.jobs, self.catalog, self.unknown.values())
+        return self.takeover.unaccounted(team, self.jobs, self.catalog, self.attempts.machines_with_unknown.values())
 
     # --- jobs ---
 
@@ -162,7 +128,7 @@
         self.job_changed(spec.job_id)
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.job_id)
-        for attempt in list(self.by_job.get(spec.job_id, ())):
+        for attempt in list(self.attempts.of_job(spec.job_id)):
             if attempt.spec is None and not attempt.exited:
                 self.adopt(attempt, job)
         self.wake_placing = True
@@ -178,7 +144,7 @@
         self.job_changed(job_id)
         if not self.takeover.settled(job):
             self.takeover.count_ended(job.spec.team, job.unknown * job.spec.cpus, job.unknown * job.spec.gpus)
-        for attempt in self.by_job.get(job_id, ()):
+        for attempt in self.attempts.of_job(job_id):
             if attempt.exited:
                 attempt.clearable = True
             else:
@@ -223,37 +189,9 @@
         )
         return attempt
 
-    def enter(self, attempt: Attempt) -> None:
-        """An attempt is on a machine, as far as is known."""
-        attempt.machine.attempts[attempt.key] = attempt
-        self.by_job.setdefault(attempt.job_id, set()).add(attempt)
-        self.count_unknown(attempt, 1)
-
-    def leave(self, attempt: Attempt) -> None:
-        """It is on no machine any more, nor reported."""
-        del attempt.machine.attempts[attempt.key]
-        mine = self.by_job.get(attempt.job_id)
-        if mine is not None:
-            mine.discard(attempt)
-            if not mine:
-                del self.by_job[attempt.job_id]
-        if not attempt.exited:
-            self.count_unknown(attempt, -1)
-
-    def count_unknown(self, attempt: Attempt, change: int) -> None:
-        """Tasks that no live job accounts for still run, and still count toward their team's limit."""
-        if attempt.spec is not None:
-            return
-        machine = attempt.machine
-        machine.unknown += change
-        if machine.unknown > 0:
-            self.unknown[machine.name] = machine
-        else:
-            self.unknown.pop(machine.name, None)
-
     def _attach(self, attempt: Attempt, job: Job) -> None:
         """Take room, limits and zones into account; `attempt.spec` is set already."""
-        self.enter(attempt)
+        self.attempts.enter(attempt)
         self._take_room(attempt)
         if attempt.index not in job.bound:
             job.bound[attempt.index] = attempt
@@ -274,7 +212,7 @@
     def adopt(self, attempt: Attempt, job: Job) -> None:
         """A task that an earlier leader started and that is on its machine. If it is one too many, it is stopped."""
         machine = attempt.machine
-        self.count_unknown(attempt, -1)
+        self.attempts.count_unknown(attempt, -1)
         attempt.spec = job.spec
         self._take_room(attempt)
         known = job.bound.get(attempt.index)
@@ -332,16 +270,12 @@
         largest = (self.largest_group.get(name) for name in classes)
         return constants.GROUP_SPARE * sum(s.cpus * s.shards for s in largest if s is not None)
 
-    def alive(self, job_id: str) -> bool:
-        """Whether any attempt of the job may still be on a machine, one too many included."""
-        return any(not attempt.exited for attempt in self.by_job.get(job_id, ()))
-
     def release_all(self, machine: Machine, now: float, reason: str) -> None:
         for attempt in list(machine.attempts.values()):
             job = self.jobs.get(attempt.job_id)
             if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
                 job.note(f"task {attempt.index}: {reason} ({machine.name})")
-            self.leave(attempt)
+            self.attempts.leave(attempt)
             self.unbind(attempt, now)
         machine.cpus = machine.gpus = machine.memory = 0.0
         self.index.room_changed(machine)
@@ -400,19 +334,11 @@
         for index in (
             self.machines_with_pending_commands,
             self.evicting,
-            self.unknown,
+            self.attempts.machines_with_unknown,
             self.to_roster,
         ):
             index.pop(name, None)
 
-    # --- reports ---
-
-    def unrecorded(self, job_id: str) -> list[Attempt]:
-        """Exited attempts whose result the next write of the record will hold."""
-        return [a for a in self.by_job.get(job_id, ()) if a.exited and not a.clearable]
-
-    # --- direct orders ---
-
     # --- stopping ---
 
     def stop(self, attempt: Attempt, reason: str, hurry: bool = False) -> None:
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -19,7 +19,7 @@
 from sorrelsill.http import Client, NoAnswerError, NotSentError
 from sorrelsill.settings import split_addr
 from sorrelsill.timers import Timers
-from sorrelsill.workers.commands import direct_commands_answered
+from sorrelsill.workers.commands import direct_commands_answered, has_direct_commands, take_direct_commands
 from sorrelsill.workers.messages import InvalidReportError, parse_report
 
 if TYPE_CHECKING:
@@ -106,10 +106,10 @@
                 or machine.lost
                 or not machine.synced
                 or not _usable(machine.addr)
-                or not cluster.has_direct_commands(machine, True)
+                or not has_direct_commands(cluster, machine, True)
             ):
                 del cluster.machines_with_pending_commands[machine.name]
-            elif cluster.has_direct_commands(machine, fresh):
+            elif has_direct_commands(cluster, machine, fresh):
                 # What becomes due while the call is under way puts the machine back among these.
                 del cluster.machines_with_pending_commands[machine.name]
                 self._busy.add(machine.name)
@@ -121,7 +121,7 @@
         those from being asked that were not asked yet."""
         if self._probed is not cluster:
             self._probed = cluster
-            self._not_probed = deque(cluster.unconfirmed)
+            self._not_probed = deque(cluster.takeover.unconfirmed)
             self._probe_again.clear()
         limit = self._limits.probes
         while self._not_probed and self._probing < limit:
@@ -134,8 +134,8 @@
             self._start_probe(cluster, name, nursery, repeated=True)
 
     def _start_probe(self, cluster: ClusterState, name: str, nursery: trio.Nursery, repeated: bool = False) -> None:
-        addr = cluster.unconfirmed_addresses.get(name, "")
-        if name not in cluster.unconfirmed or not _usable(addr):
+        addr = cluster.takeover.unconfirmed_addresses.get(name, "")
+        if name not in cluster.takeover.unconfirmed or not _usable(addr):
             return
         if name in self._busy:
             self._probe_again.set_if_earlier(name, trio.current_time() + constants.RETRY_S)
@@ -149,7 +149,7 @@
         try:
             if not self._valid() or machine.lost:
                 return
-            commands, attempts = cluster.take_direct_commands(machine, self._fresh())
+            commands, attempts = take_direct_commands(cluster, machine, self._fresh())
             if not commands:
                 return
             body = _encode({"epoch": cluster.term, "tenure": machine.session, "orders": commands})
@@ -174,7 +174,7 @@
                 self._later(machine.name, f"status {status}")
         finally:
             self._busy.discard(machine.name)
-            if cluster.has_direct_commands(machine, True):
+            if has_direct_commands(cluster, machine, True):
                 cluster.machines_with_pending_commands[machine.name] = machine
 
     def _valid_for(self, starts: list[Attempt]) -> Callable[[], bool]:
@@ -201,7 +201,7 @@
             self._busy.discard(name)
             self._probing -= 1
             self._repeating -= repeated
-            if name in cluster.unconfirmed and self._probed is cluster:
+            if name in cluster.takeover.unconfirmed and self._probed is cluster:
                 self._probe_again.set_if_earlier(name, self._next_try(name))
 
     def _take(self, cluster: ClusterState, raw: bytes) -> None:
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -183,7 +183,7 @@
     if attempt.task_id != item.task_id:
         log.error("report of %s: task %s", machine.name, item.task_id[:80])
         return None
-    cluster.enter(attempt)
+    cluster.attempts.enter(attempt)
     if item.phase != "exited":
         job = cluster.jobs.get(job_id)
         if job is not None:
@@ -224,12 +224,12 @@
             continue  # its direct start may still be executed, so its absence proves nothing
         if attempt.confirmed or (proper and (attempt.exited or attempt.stop)):
             # Cleared, vanished, or never started and no longer wanted: this newer report proves it.
-            cluster.leave(attempt)
+            cluster.attempts.leave(attempt)
             cluster.unbind(attempt, now)
 
 
 def _exited(cluster: ClusterState, attempt: Attempt, item: messages.TaskReport, now: float) -> None:
-    cluster.count_unknown(attempt, -1)
+    cluster.attempts.count_unknown(attempt, -1)
     attempt.exited = True
     attempt.phase = "exited"
     job = cluster.jobs.get(attempt.job_id)
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from sorrelsill.fleet import Catalog
-from sorrelsill.jobs import JobSpec
+from sorrelsill.jobs import JobSpec, RosterEntry
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
 
@@ -46,21 +46,16 @@
     def expect_machines(self, roster: Iterable[tuple[str, Any]]) -> None:
         """Machines that an earlier leader may have given work: they have to be heard, or time out."""
         for name, value in roster:
-            known = value if isinstance(value, dict) else {}
-            machine_type, zone, spot = known.get("f"), known.get("z"), known.get("s")
+            entry = RosterEntry.from_stored(value)
             # An entry of an earlier version lacks zone and kind: the machine may be any.
-            sort = (
-                machine_type if isinstance(machine_type, str) else "",
-                zone if isinstance(zone, str) else None,
-                spot is True,
-            )
+            sort = entry.machine_type, entry.zone, entry.spot
             if name in self.unconfirmed:
                 # It stands in two parts of the roster. Found by reading: counted twice and heard once, it would have
                 # held back every older job that it may hold for the whole term.
                 self.confirm(name)
             self.unconfirmed[name] = sort
             self._unconfirmed_kinds[sort] = self._unconfirmed_kinds.get(sort, 0) + 1
-            self.unconfirmed_addresses[name] = str(known.get("a", ""))
+            self.unconfirmed_addresses[name] = entry.addr
         self._unaccounted = None
 
     def expect_ended_jobs(self, ended: list[tuple[str, float, float]] | None) -> None:
--- a/sorrelsill/workers/test_cluster_state.py
+++ b/sorrelsill/workers/test_cluster_state.py
@@ -48,12 +48,12 @@
 
 def test_reports_of_a_roster_machine_that_shows_no_token_are_answered_only_for_a_while() -> None:
     cluster = ClusterState(7, 0.0, Catalog({"c8": KIND}), 11.5, 2.7)
-    cluster.expect_machines([("m1", {"f": "c8", "a": "10.0.0.9:9000"})])
+    cluster.takeover.expect_machines([("m1", {"f": "c8", "a": "10.0.0.9:9000"})])
     assert report(cluster, 1, 1.0, epoch=3) is not None
     assert report(cluster, 4, 5.0, epoch=3) is not None
     assert report(cluster, 7, 9.0, epoch=3) is None
-    assert not cluster.expire_leases(15.0) and cluster.unconfirmed
-    assert [h.name for h in cluster.expire_leases(17.0)] == ["m1"] and not cluster.unconfirmed
+    assert not cluster.expire_leases(15.0) and cluster.takeover.unconfirmed
+    assert [h.name for h in cluster.expire_leases(17.0)] == ["m1"] and not cluster.takeover.unconfirmed
 
 
 def answer(cluster: ClusterState, sequence_number: int, now: float, session: int = 1) -> None:
@@ -64,7 +64,7 @@
 def greeted() -> tuple[ClusterState, Machine]:
     """A machine of the roster that a new leader reached directly and that has not reported yet."""
     cluster = ClusterState(7, 0.0, Catalog({"c8": KIND}), 11.5, 2.7, overdue_s=2.25)
-    cluster.expect_machines([("m1", {"f": "c8", "a": "10.0.0.9:9000"})])
+    cluster.takeover.expect_machines([("m1", {"f": "c8", "a": "10.0.0.9:9000"})])
     answer(cluster, 1, 1.0)
     return cluster, cluster.machines["m1"]
 
--- a/tests/load/leader_cpu.py
+++ b/tests/load/leader_cpu.py
@@ -23,6 +23,7 @@
 
 from sorrelsill import constants
 from sorrelsill.fleet import Cloud, FleetManager
+from sorrelsill.fleet.machine_list import ListedMachine
 from sorrelsill.http import Client, Reply, Request, Server
 from sorrelsill.jobs import JobSpec
 from sorrelsill.settings import CloudLimits, Team
@@ -157,7 +158,7 @@
         cluster = self.leader.cluster
         for job_id in list(cluster.dirty):
             job = cluster.jobs.get(job_id)
-            for attempt in cluster.unrecorded(job_id):
+            for attempt in cluster.attempts.unrecorded(job_id):
                 attempt.clearable = True
             if job is not None and job.done.count == job.spec.shards and not job.spec.endless:
                 cluster.end_job(job_id)
@@ -184,7 +185,7 @@
                 self._fleet._choose_rentals(leader.now)
             self._fleet._open.clear()
         if leader.now % constants.LIST_EVERY_S < STEP_S:
-            found = {name: {"phase": "running", "ageS": leader.now} for name in leader.names}
+            found = {name: ListedMachine(name, "running", age_s=leader.now) for name in leader.names}
             with self.parts["list"]:
                 self._fleet.take_list(found, leader.now)
 
--- a/tests/scenarios/test_bad_nights.py
+++ b/tests/scenarios/test_bad_nights.py
@@ -30,7 +30,9 @@
         label = simulation.leader()
         note("leading", label is not None)
         cluster = simulation.nodes[label].cluster if label is not None else None
-        note("machines confirmed", cluster is not None and not cluster.unconfirmed and bool(cluster.index.ready))
+        note(
+            "machines confirmed", cluster is not None and not cluster.takeover.unconfirmed and bool(cluster.index.ready)
+        )
         note("first start", len(simulation.starts) > starts_before)
         note("last service up", all(len(simulation.running(job_id)) == 3 for job_id in services))
         await trio.sleep(0.01)
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -69,7 +69,7 @@
     silent = [n for n in leader.names if leader.spot(n)][:50]
     leader.add(array_job("run-old", shards=40, owner="red"), old=True)
     leader.add(array_job("run-ordinary", shards=40, owner="red", reclaimable=False), old=True)
-    leader.cluster.expect_ended_jobs([("red", 20.0, 0.0)])
+    leader.cluster.takeover.expect_ended_jobs([("red", 20.0, 0.0)])
     heard = [n for n in leader.names if n not in silent]
     leader.all_report(heard)
     leader.all_report(heard)
@@ -79,32 +79,32 @@
     assert not jobs["run-old"].bound, "its tasks may be running there"
     assert len(jobs["run-ordinary"].bound) == 40, "a spot machine can't hold them"
     assert len(jobs["run-new"].bound) == 600 - 40 - 40 - 20, "all that may be running counts toward the limit"
-    leader.cluster.expect_ended_jobs(None)
+    leader.cluster.takeover.expect_ended_jobs(None)
     assert leader.cluster.unaccounted("red") == (50 * 16.0, 0.0), "and the whole machines if that can't be told"
 
 
 def test_a_job_that_ends_unseen_still_counts_toward_its_teams_limit() -> None:
     leader = LeaderInMemory(60, roster=True)
     leader.add(array_job("run-old", shards=200, owner="red"), old=True)
-    leader.cluster.expect_ended_jobs([])
+    leader.cluster.takeover.expect_ended_jobs([])
     assert leader.cluster.unaccounted("red") == (200.0, 0.0)
     leader.cluster.end_job("run-old")
     assert leader.cluster.unaccounted("red") == (200.0, 0.0) and leader.cluster.unaccounted("blue") == (0.0, 0.0)
     leader.now = LOSS_S + VALIDITY_S + 1
     leader.cluster.expire_leases(leader.now)
-    assert not leader.cluster.unconfirmed and leader.cluster.unaccounted("red") == (0.0, 0.0)
+    assert not leader.cluster.takeover.unconfirmed and leader.cluster.unaccounted("red") == (0.0, 0.0)
 
 
 def test_a_damaged_or_older_roster_entry_holds_back_whatever_may_run_there() -> None:
     leader = LeaderInMemory(60)
     for number, entry in enumerate(({"f": "std", "a": "10.1.9.9:9000"}, None, {"f": 7, "z": 7, "s": 7})):
-        leader.cluster.expect_machines([(f"m-old-{number}", entry)])
+        leader.cluster.takeover.expect_machines([(f"m-old-{number}", entry)])
         leader.add(
             array_job(f"run-{number}", shards=10, owner="red", flavours=["std"], region="a", reclaimable=False), True
         )
-        assert not leader.cluster.settled(leader.cluster.jobs[f"run-{number}"])
+        assert not leader.cluster.takeover.settled(leader.cluster.jobs[f"run-{number}"])
     assert leader.cluster.unaccounted("red")[0] > 1000, "of a type that is not known the size is not known either"
-    leader.cluster.expect_ended_jobs([])
+    leader.cluster.takeover.expect_ended_jobs([])
     assert leader.cluster.unaccounted("red") == (30.0, 0.0)
 
 
--- a/tests/scenarios/test_groups.py
+++ b/tests/scenarios/test_groups.py
@@ -362,7 +362,7 @@
     placer.round(cluster, 2.0, lambda: 0.0, 1.0)
     assert len(second.bound) == 4
     for attempt in list(second.bound.values()):
-        cluster.leave(attempt)
+        cluster.attempts.leave(attempt)
         cluster.unbind(attempt, 3.0)
     cluster.end_job("run-h")
     late = cluster.add_job(parse_spec(job("run-b", shards=4)), TaskSet(4), 5, False, 3.0, [])
--- a/tests/scenarios/test_grown.py
+++ b/tests/scenarios/test_grown.py
@@ -7,6 +7,7 @@
 from sorrelsill.http import Reply, Request
 from sorrelsill.settings import Team
 from sorrelsill.workers import ClusterState, Report
+from sorrelsill.workers.commands import commands
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 
 
@@ -30,12 +31,12 @@
     """What is sent to `path` from now on, for later copies or repeats of it."""
     sent: list[tuple[str, str, Request]] = []
 
-    def reindex(src: str, dst: str, request: Request) -> bool:
+    def hold(src: str, dst: str, request: Request) -> bool:
         if request.path == path:
             sent.append((src, dst, request))
         return False
 
-    simulation.net.hold_request = reindex
+    simulation.net.hold_request = hold
     return sent
 
 
@@ -92,7 +93,7 @@
         await simulation.until(lambda: len([1 for _, h in simulation.running("run-s") if h != name]) == 4, 60)
         assert trio.current_time() - began < 35
         leader = await simulation.until_leader()
-        assert not ledger_of(simulation.nodes[leader]).unconfirmed
+        assert not ledger_of(simulation.nodes[leader]).takeover.unconfirmed
 
     run_scenario(scenario, teams=[Team("red", cpus_max=10.0)])
 
@@ -199,7 +200,7 @@
         machine = cluster.machines[name]
         now = trio.current_time()
         attempt = cluster.bind(cluster.jobs["run-0"], 0, machine, now, 1 << 60)
-        cluster.commands(machine, True, now)
+        commands(cluster, machine, True, now)
         attempt.stop = True
         cluster.on_answer(msgspec.convert(worker.report(), Report), now)
         assert attempt.key in machine.attempts
--- a/tests/scenarios/test_large_fleet.py
+++ b/tests/scenarios/test_large_fleet.py
@@ -174,7 +174,7 @@
             while trio.current_time() < 30.0:
                 pusher.probe_unconfirmed(leader.cluster, nursery)
                 assert len(pusher._busy) <= limits.probes
-                if heard_after is None and len(leader.cluster.unconfirmed) == machines // 2:
+                if heard_after is None and len(leader.cluster.takeover.unconfirmed) == machines // 2:
                     heard_after = trio.current_time()
                 await trio.sleep(0.05)
             nursery.cancel_scope.cancel()
@@ -191,9 +191,9 @@
         leader = LeaderInMemory(machines, roster=True)
         for number in range(machines // MACHINES_PER_JOB):
             leader.add(array_job(f"run-{number}", shards=64, owner="blue"), old=True)
-        leader.cluster.expect_ended_jobs([])
+        leader.cluster.takeover.expect_ended_jobs([])
         calls = count_calls(lambda: leader.all_report(leader.names))
-        assert not leader.cluster.unconfirmed or len(leader.cluster.unconfirmed) == machines
+        assert not leader.cluster.takeover.unconfirmed or len(leader.cluster.takeover.unconfirmed) == machines
         return calls / machines
 
     assert cost(LARGE) <= 1.1 * cost(SMALL)
--- a/tests/scenarios/test_meetings.py
+++ b/tests/scenarios/test_meetings.py
@@ -12,7 +12,7 @@
 from tests.simulation.simulated_cluster import LABELS, LEASE_S
 
 
-async def reindex(simulation: SimulatedCluster, job_id: str, rounds: int = 3) -> None:
+async def look_closely(simulation: SimulatedCluster, job_id: str, rounds: int = 3) -> None:
     """Polls and repeats of the submission at all controllers, again within milliseconds."""
     async with trio.open_nursery() as nursery:
         for _ in range(rounds):
@@ -37,20 +37,20 @@
                 simulation.nursery.start_soon(_back, simulation, leader, 0.3)
             job_id = f"run-{number}"
             await simulation.submit(job(job_id, shards=1, vcpus=1.0, expectedRunS=1.0, sizeGb=0.0))
-            await reindex(simulation, job_id)
+            await look_closely(simulation, job_id)
             if number % 3 == 0:
                 await simulation.cancel(job_id)
-                await reindex(simulation, job_id)
+                await look_closely(simulation, job_id)
             elif number % 3 == 1:
                 await simulation.until(lambda u=job_id: f"{u}/0" in simulation.finished, 60)  # type: ignore[misc]
                 await simulation.cancel(job_id)  # at the end of its last task
-                await reindex(simulation, job_id)
+                await look_closely(simulation, job_id)
             else:
                 await simulation.until_phase(job_id, "done", 120)
-                await reindex(simulation, job_id)
+                await look_closely(simulation, job_id)
         await simulation.wait_for_convergence()
         for job_id in sorted(simulation.accepted):
-            await reindex(simulation, job_id)
+            await look_closely(simulation, job_id)
 
     run_scenario(scenario)
 
@@ -85,7 +85,7 @@
             simulation.start(label)
         await simulation.wait_for_convergence()
         for job_id in sorted(simulation.accepted):
-            await reindex(simulation, job_id)
+            await look_closely(simulation, job_id)
 
     run_scenario(scenario)
 
@@ -116,7 +116,7 @@
         for label in LABELS:
             simulation.start(label)
         await trio.sleep(5)
-        await reindex(simulation, "run-a")
+        await look_closely(simulation, "run-a")
         assert (await simulation.poll("run-a"))[1]["phase"] == "done"
 
     run_scenario(scenario)
--- a/tests/scenarios/test_ordinary.py
+++ b/tests/scenarios/test_ordinary.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from sorrelsill.fleet.machine_list import ListedMachine
 from sorrelsill.settings import Team
 from tests.simulation import SimulatedCluster, job, machine_name, run_scenario
 
@@ -208,7 +209,7 @@
         await simulation.until(lambda: not simulation.cloud.machines)
         leader = simulation.nodes[await simulation.until_leader()]
         assert leader.leading is not None
-        ghosts = {name: {"phase": "running", "flavour": "c8", "region": "a", "ageS": 20.0} for name in first}
+        ghosts = {name: ListedMachine(name, "running", "c8", "a", False, 20.0) for name in first}
         leader.leading.fleet.take_list(ghosts, trio.current_time())
         assert leader.leading.fleet.pending == {}
 
--- a/tests/scenarios/test_together.py
+++ b/tests/scenarios/test_together.py
@@ -25,12 +25,12 @@
     """Reports and commands from now on, for late copies and repeats of them."""
     sent: list[Sent] = []
 
-    def reindex(src: str, dst: str, request: Request) -> bool:
+    def hold(src: str, dst: str, request: Request) -> bool:
         if request.path in ("/hello", "/commands"):
             sent.append((src, dst, request))
         return False
 
-    simulation.net.hold_request = reindex
+    simulation.net.hold_request = hold
     return sent
 
 
--- a/tests/simulation/counting.py
+++ b/tests/simulation/counting.py
@@ -12,13 +12,13 @@
     """How many functions, comprehensions and generator steps of the package run meanwhile."""
     calls = 0
 
-    def reindex(frame: FrameType, event: str, arg: Any) -> None:
+    def profile(frame: FrameType, event: str, arg: Any) -> None:
         nonlocal calls
         if event == "call" and "sorrelsill" in frame.f_code.co_filename:
             calls += 1
 
     before = sys.getprofile()
-    sys.setprofile(reindex)
+    sys.setprofile(profile)
     try:
         what()
     finally:
--- a/tests/simulation/leader_in_memory.py
+++ b/tests/simulation/leader_in_memory.py
@@ -37,7 +37,7 @@
         objectives = [Objective("finished", "w", 60.0)]
         self.placer = Placer(teams or TEAMS, objectives, random.Random(1), constants.SAMPLE, True)
         if roster:
-            self.cluster.expect_machines([(name, self._roster_entry(name)) for name in self.names])
+            self.cluster.takeover.expect_machines([(name, self._roster_entry(name)) for name in self.names])
 
     def _roster_entry(self, name: str) -> dict[str, object]:
         return {"f": "std", "a": self.address(name), "z": self.zone(name), "s": self.spot(name)}
