--- a/tests/scenarios/test_bad_nights.py
+++ b/tests/scenarios/test_bad_nights.py
@@ -7,7 +7,8 @@
 from sorrelsill import constants
 from sorrelsill.settings import Team
 from tests.simulation import SimulatedCluster, job, run_scenario, service
-from tests.simulation.simulated_cluster import LABELS, LEASE_S
+from tests.simulation.rules import LEASE_S
+from tests.simulation.users import LABELS
 
 GUARANTEED = [Team("red", cpus=40.0), Team("guests")]
 
--- a/tests/scenarios/test_cancelled.py
+++ b/tests/scenarios/test_cancelled.py
@@ -8,7 +8,8 @@
 from sorrelsill import constants
 from sorrelsill.http import Request
 from tests.simulation import SimulatedCluster, run_scenario, service
-from tests.simulation.simulated_cluster import CANCEL_S, LABELS, LEASE_S
+from tests.simulation.rules import CANCEL_S, LEASE_S
+from tests.simulation.users import LABELS
 
 
 async def two_services(simulation: SimulatedCluster, *cancelled: str) -> str:
--- a/tests/scenarios/test_frozen.py
+++ b/tests/scenarios/test_frozen.py
@@ -9,7 +9,7 @@
 from sorrelsill.http import Request
 from sorrelsill.leadership.elector import Watchdog
 from tests.simulation import SimulatedCluster, job, run_scenario, service
-from tests.simulation.simulated_cluster import LABELS
+from tests.simulation.users import LABELS
 
 FROZEN_S = 9.0  # longer than the leader's lease, shorter than the workers'
 SHORT_S = 3.9  # longer than the leader's validity, shorter than its lease and than a call to the cloud may take
--- a/tests/scenarios/test_meetings.py
+++ b/tests/scenarios/test_meetings.py
@@ -9,7 +9,8 @@
 from sorrelsill.http import Request
 from sorrelsill.settings import Team
 from tests.simulation import SimulatedCluster, job, run_scenario, service
-from tests.simulation.simulated_cluster import LABELS, LEASE_S
+from tests.simulation.rules import LEASE_S
+from tests.simulation.users import LABELS
 
 
 async def look_closely(simulation: SimulatedCluster, job_id: str, rounds: int = 3) -> None:
--- a/tests/scenarios/test_upgrade.py
+++ b/tests/scenarios/test_upgrade.py
@@ -14,7 +14,7 @@
 from sorrelsill.settings import NextLimits
 from sorrelsill.store import View
 from tests.simulation import SimulatedCluster, job, production, run_scenario, service
-from tests.simulation.simulated_cluster import LABELS
+from tests.simulation.users import LABELS
 
 COMING = NextLimits(write_rps=100.0, value_kb=2.0, txn_ops=5)
 
--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -5,8 +5,9 @@
 from tests.simulation.counting import count_calls
 from tests.simulation.leader_in_memory import LOSS_S, OVERDUE_S, VALIDITY_S, LeaderInMemory, array_job
 from tests.simulation.network import FakeNet
-from tests.simulation.simulated_cluster import SimulatedCluster, job, run_scenario, service
+from tests.simulation.simulated_cluster import SimulatedCluster, run_scenario
 from tests.simulation.store import FakeStore
+from tests.simulation.users import job, service
 from tests.simulation.worker import FakeWorker
 
 __all__ = [
--- a/tests/simulation/leader_in_memory.py
+++ b/tests/simulation/leader_in_memory.py
@@ -11,7 +11,7 @@
 from sorrelsill.settings import Objective, Team
 from sorrelsill.workers import ClusterState, Report
 from sorrelsill.workers.messages import TaskReport
-from tests.simulation.simulated_cluster import job
+from tests.simulation.users import job
 
 MACHINE_TYPE = MachineType("std", 16.0, 0.0, 64.0, 40.0, 0.3, 1.0, 0.4, 30.0, ("a", "b"))
 TERM, LOSS_S, VALIDITY_S, OVERDUE_S = 7, 14.5, 3.4, 4.2
--- /dev/null
+++ b/tests/simulation/rules.py
@@ -0,0 +1,134 @@
+"""The protocol's rules, checked as a scenario goes: whatever breaks one is noted and fails the scenario."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import trio
+
+from sorrelsill.controller import Controller
+from sorrelsill.http import Request
+from sorrelsill.settings import Team
+from tests.simulation.gangs import Gangs
+from tests.simulation.network import FakeNet
+from tests.simulation.store import FakeStore
+from tests.simulation.worker import FakeWorker
+
+REPORT_S, LEASE_S, CANCEL_S = 1.0, 11.0, 30.0
+GANG_WAIT_S, GANG_PEER_S = 40.0, 5.0
+
+
+class ProtocolRules:
+    """What users were told and what runs where, and the rules over both."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int, teams: list[Team], txn_ops: int) -> None:
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.net = FakeNet(nursery)
+        self.net.sent = self._check_entitled
+        self.store = FakeStore(txn_ops=txn_ops)
+        self.teams = teams
+        self.nodes: dict[str, Controller] = {}
+        self.workers: dict[str, FakeWorker] = {}
+        self.specs: dict[str, dict[str, Any]] = {}
+        self.accepted: set[str] = set()
+        self.over: dict[str, str] = {}  # what users were told: uid -> done or cancelled
+        self.cancelled_at: dict[str, float] = {}
+        self.started_cancelled = 0  # starts after their user was told that the job is cancelled
+        self.starts: list[tuple[float, str, str]] = []  # time, task, machine
+        self.finished: set[str] = set()
+        self.gangs = Gangs(GANG_WAIT_S, GANG_PEER_S)
+        self.broken: list[str] = []
+        self.led: list[tuple[int, str]] = []  # each holder of the leader key: its term and label
+
+    def _check_entitled(self, src: str, dst: str, request: Request) -> None:
+        """Only a leader within its validity may command workers, rent or return machines."""
+        node = self.nodes.get(src)
+        acts = request.path == "/commands" or request.method == "POST" and request.path.startswith("/rentals")
+        if acts and isinstance(node, Controller) and not node.elector.valid():
+            self.broken.append(f"not entitled: {src} sends {request.path} at {trio.current_time():.1f}")
+
+    def _hear(self, worker: FakeWorker, task_id: str, on: bool) -> None:
+        job_id = task_id.rpartition("/")[0]
+        if not on:
+            return
+        now = trio.current_time()
+        self.starts.append((now, task_id, worker.name))
+        self.started_cancelled += job_id in self.cancelled_at
+        if now - self.cancelled_at.get(job_id, now) > CANCEL_S:
+            self.broken.append(f"ran_cancelled: {task_id} starts on {worker.name}")
+        others = [w for w in self.workers.values() if w is not worker and task_id in w.on]
+        if others:
+            self.broken.append(f"ran_twice: {task_id} on {worker.name} and {others[0].name} at {now:.1f}")
+        spec = self.specs[job_id]
+        placed = [w.zone for w in self.workers.values() for s in w.on if s.startswith(job_id + "/")]
+        if spec["region"] not in (None, worker.zone) or (worker.spot and not spec["reclaimable"]):
+            self.broken.append(f"wrong_place: {task_id} on {worker.name}")
+        if spec["oneZone"] and len(set(placed)) > 1:
+            self.broken.append(f"wrong_place: {task_id} in a second zone")
+        if spec["scatter"] and placed.count(worker.zone) > (spec["shards"] + 1) // 2:
+            self.broken.append(f"wrong_place: too much of {job_id} in zone {worker.zone}")
+        for team in self.teams:
+            used = sum(
+                self.specs[s.rpartition("/")[0]]["vcpus"]
+                for w in self.workers.values()
+                for s in w.on
+                if self.specs[s.rpartition("/")[0]]["owner"] == team.name
+            )
+            if team.cpus_max and used > team.cpus_max + 1e-6:
+                self.broken.append(f"quota: {team.name} uses {used}")
+
+    async def _watch(self) -> None:
+        while True:
+            now = trio.current_time()
+            for worker in self.workers.values():
+                for task_id in worker.on:
+                    at = self.cancelled_at.get(task_id.rpartition("/")[0])
+                    if at is not None and now - at > CANCEL_S:
+                        self.broken.append(f"ran_cancelled: {task_id} on {worker.name}")
+            self.gangs.step(now)
+            self._check_indices()
+            held = self.store.kv.get("s/leader")
+            if held is not None and (not self.led or self.led[-1][0] != held[1]):
+                self.led.append((held[1], held[0]["label"]))
+            await trio.sleep(0.1)
+
+    def _check_indices(self) -> None:
+        """What the leader's indices of machines say is what a walk over all machines finds."""
+        for label, node in self.nodes.items():
+            if not isinstance(node, Controller) or node.cluster is None:
+                continue
+            index, machines = node.cluster.index, node.cluster.machines.values()
+            ready = {m.name for m in machines if m.usable}
+            free = {m.name for m in machines if m.usable and m.cap_cpus - m.cpus > 1e-6}
+            idle = {m.name for m in machines if not m.live}
+            for name, indexed, walked in (
+                ("ready", index.ready.names(), ready),
+                ("free", index.free.names(), free),
+                ("idle", index.idle.names(), idle),
+            ):
+                if indexed != walked:
+                    self.broken.append(f"index {name} of {label} at {trio.current_time():.1f}: {indexed ^ walked}")
+
+    def _check_answer(self, path: str, status: int, answer: Any) -> None:
+        job_id = path.split("/")[3] if path.count("/") >= 3 else answer.get("uid") if isinstance(answer, dict) else None
+        if job_id is None:
+            return
+        if status == 404 and job_id in self.accepted:
+            self.broken.append(f"forgotten: {job_id}")
+        if status not in (200, 201) or "phase" not in answer:
+            return
+        if job_id not in self.specs:
+            self.broken.append(f"invented: {job_id}")
+        self.accepted.add(job_id)
+        phase = answer["phase"]
+        if job_id in self.over and phase != self.over[job_id]:
+            self.broken.append(f"went_back: {job_id} from {self.over[job_id]} to {phase}")
+        if phase in ("done", "cancelled"):
+            self.over[job_id] = phase
+            if phase == "cancelled":
+                self.cancelled_at.setdefault(job_id, trio.current_time())
+            missing = [i for i in range(self.specs[job_id]["shards"]) if f"{job_id}/{i}" not in self.finished]
+            if phase == "done" and len(missing) > 0:
+                self.broken.append(f"not_done: {job_id} lacks {missing[:5]}")
--- a/tests/simulation/simulated_cluster.py
+++ b/tests/simulation/simulated_cluster.py
@@ -1,17 +1,16 @@
-"""A whole small deployment: three controllers, store, cloud, workers, users; and the rules, checked as it goes."""
+"""A whole small deployment: three controllers, store, cloud, workers and users, and the troubles that befall them."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import msgspec
 import trio
 import trio.testing
 
 from sorrelsill.controller import Controller
-from sorrelsill.http import NoAnswerError, NotSentError, Reply, Request
+from sorrelsill.http import Reply, Request
 from sorrelsill.settings import (
     CloudLimits,
     Facts,
@@ -27,52 +26,15 @@
 from tests.simulation import production
 from tests.simulation.cloud import FakeCloud
 from tests.simulation.freeze import Gate, GatedTasks
-from tests.simulation.gangs import Gangs
-from tests.simulation.network import FakeNet
-from tests.simulation.store import FakeStore
+from tests.simulation.rules import CANCEL_S, GANG_PEER_S, GANG_WAIT_S, LEASE_S, REPORT_S
+from tests.simulation.users import LABELS, SimulatedUsers
 from tests.simulation.worker import FakeWorker
 
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
 
-LABELS = ("n0", "n1", "n2")
-REPORT_S, LEASE_S, CANCEL_S = 1.0, 11.0, 30.0
-GANG_WAIT_S, GANG_PEER_S = 40.0, 5.0
-
-
-def job(name: str, **fields: Any) -> dict[str, Any]:
-    """A job as a user submits it."""
-    base = {
-        "uid": name,
-        "workload": "w",
-        "owner": "red",
-        "shape": "sweep",
-        "rank": "standard",
-        "shards": 2,
-        "vcpus": 2.0,
-        "gpus": 0.0,
-        "memoryGb": 4.0,
-        "bundle": "img",
-        "sizeGb": 0.5,
-        "flavours": None,
-        "region": None,
-        "oneZone": False,
-        "scatter": False,
-        "reclaimable": False,
-        "expectedRunS": 5.0,
-        "snapshotEveryS": 0.0,
-        "snapshotCostS": 0.0,
-        "dueS": None,
-    }
-    return {**base, **fields}
-
-
-def service(job_id: str, **fields: Any) -> dict[str, Any]:
-    """A service as a user submits it."""
-    return job(job_id, **{"shape": "standing", "expectedRunS": 0.0, **fields})
-
-
-class SimulatedCluster:
+
+class SimulatedCluster(SimulatedUsers):
     def __init__(
         self,
         nursery: trio.Nursery,
@@ -83,41 +45,24 @@
         old: bool = False,
         gated: GatedTasks | None = None,
     ) -> None:
+        super().__init__(nursery, seed, teams, txn_ops)
         self.coming = coming
         self._gated = gated or GatedTasks()
         self._gates: dict[str, Gate] = {}
         self.request_cost_s = 0.0  # processor time of a controller for each request
         self._processors: dict[str, trio.Lock] = {}
         self.may_refuse = 0  # transactions that the store may refuse as too large in this story
-        self.nursery = nursery
-        self.rng = random.Random(seed)
-        self.net = FakeNet(nursery)
-        self.net.sent = self._check_entitled
-        self.store = FakeStore(txn_ops=txn_ops)
         self.value_kb, self.txn_ops = self.store.value_kb, txn_ops  # as the settings tell
         self.cloud = FakeCloud(self._boot)
         self.cloud.on_return = self.kill_machine
-        self.teams = teams
-        self.nodes: dict[str, Controller] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
-        self.workers: dict[str, FakeWorker] = {}
         self.ever_up: set[str] = set()  # machines that came up
         self.on_boot: Callable[[str], None] = lambda name: None
-        self.specs: dict[str, dict[str, Any]] = {}
-        self.accepted: set[str] = set()
-        self.over: dict[str, str] = {}  # what users were told: uid -> done or cancelled
-        self.cancelled_at: dict[str, float] = {}
-        self.started_cancelled = 0  # starts after their user was told that the job is cancelled
-        self.starts: list[tuple[float, str, str]] = []  # time, task, machine
-        self.finished: set[str] = set()
-        self.gangs = Gangs(GANG_WAIT_S, GANG_PEER_S)
-        self.broken: list[str] = []
         self.net.handlers["store"] = self.store.handle
         self.net.handlers["cloud"] = self.cloud.handle
         nursery.start_soon(self.store.run)
         nursery.start_soon(self.cloud.run)
         nursery.start_soon(self._watch)
-        self.led: list[tuple[int, str]] = []  # each holder of the leader key: its term and label
         for label in LABELS:
             self.start(label, old)
 
@@ -190,13 +135,6 @@
         """Whether the controller stands still."""
         return self._gates[label].frozen
 
-    def _check_entitled(self, src: str, dst: str, request: Request) -> None:
-        """Only a leader within its validity may command workers, rent or return machines."""
-        node = self.nodes.get(src)
-        acts = request.path == "/commands" or request.method == "POST" and request.path.startswith("/rentals")
-        if acts and isinstance(node, Controller) and not node.elector.valid():
-            self.broken.append(f"not entitled: {src} sends {request.path} at {trio.current_time():.1f}")
-
     def kill(self, label: str) -> None:
         """Without a signal: from one moment to the next."""
         self._scopes[label].cancel()
@@ -324,147 +262,6 @@
                 await self.until_phase(job_id, "done", 90 + spec["expectedRunS"] * spec["shards"])
         await trio.sleep(1)
 
-    # --- the rules ---
-
-    def _hear(self, worker: FakeWorker, task_id: str, on: bool) -> None:
-        job_id = task_id.rpartition("/")[0]
-        if not on:
-            return
-        now = trio.current_time()
-        self.starts.append((now, task_id, worker.name))
-        self.started_cancelled += job_id in self.cancelled_at
-        if now - self.cancelled_at.get(job_id, now) > CANCEL_S:
-            self.broken.append(f"ran_cancelled: {task_id} starts on {worker.name}")
-        others = [w for w in self.workers.values() if w is not worker and task_id in w.on]
-        if others:
-            self.broken.append(f"ran_twice: {task_id} on {worker.name} and {others[0].name} at {now:.1f}")
-        spec = self.specs[job_id]
-        placed = [w.zone for w in self.workers.values() for s in w.on if s.startswith(job_id + "/")]
-        if spec["region"] not in (None, worker.zone) or (worker.spot and not spec["reclaimable"]):
-            self.broken.append(f"wrong_place: {task_id} on {worker.name}")
-        if spec["oneZone"] and len(set(placed)) > 1:
-            self.broken.append(f"wrong_place: {task_id} in a second zone")
-        if spec["scatter"] and placed.count(worker.zone) > (spec["shards"] + 1) // 2:
-            self.broken.append(f"wrong_place: too much of {job_id} in zone {worker.zone}")
-        for team in self.teams:
-            used = sum(
-                self.specs[s.rpartition("/")[0]]["vcpus"]
-                for w in self.workers.values()
-                for s in w.on
-                if self.specs[s.rpartition("/")[0]]["owner"] == team.name
-            )
-            if team.cpus_max and used > team.cpus_max + 1e-6:
-                self.broken.append(f"quota: {team.name} uses {used}")
-
-    async def _watch(self) -> None:
-        while True:
-            now = trio.current_time()
-            for worker in self.workers.values():
-                for task_id in worker.on:
-                    at = self.cancelled_at.get(task_id.rpartition("/")[0])
-                    if at is not None and now - at > CANCEL_S:
-                        self.broken.append(f"ran_cancelled: {task_id} on {worker.name}")
-            self.gangs.step(now)
-            self._check_indices()
-            held = self.store.kv.get("s/leader")
-            if held is not None and (not self.led or self.led[-1][0] != held[1]):
-                self.led.append((held[1], held[0]["label"]))
-            await trio.sleep(0.1)
-
-    def _check_indices(self) -> None:
-        """What the leader's indices of machines say is what a walk over all machines finds."""
-        for label, node in self.nodes.items():
-            if not isinstance(node, Controller) or node.cluster is None:
-                continue
-            index, machines = node.cluster.index, node.cluster.machines.values()
-            ready = {m.name for m in machines if m.usable}
-            free = {m.name for m in machines if m.usable and m.cap_cpus - m.cpus > 1e-6}
-            idle = {m.name for m in machines if not m.live}
-            for name, indexed, walked in (
-                ("ready", index.ready.names(), ready),
-                ("free", index.free.names(), free),
-                ("idle", index.idle.names(), idle),
-            ):
-                if indexed != walked:
-                    self.broken.append(f"index {name} of {label} at {trio.current_time():.1f}: {indexed ^ walked}")
-
-    # --- users ---
-
-    async def ask(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
-        """One request of a user to one controller; 0 for no answer."""
-        raw = body if isinstance(body, bytes) else _encode(body) if body is not None else b""
-        try:
-            reply = await self.net.send("user", label, Request(method, path, "", raw), 5.0)
-        except (NotSentError, NoAnswerError):
-            return 0, {}
-        answer = _decode(reply.body) if reply.body else {}
-        self._check_answer(path, reply.status, answer)
-        return reply.status, answer
-
-    def _check_answer(self, path: str, status: int, answer: Any) -> None:
-        job_id = path.split("/")[3] if path.count("/") >= 3 else answer.get("uid") if isinstance(answer, dict) else None
-        if job_id is None:
-            return
-        if status == 404 and job_id in self.accepted:
-            self.broken.append(f"forgotten: {job_id}")
-        if status not in (200, 201) or "phase" not in answer:
-            return
-        if job_id not in self.specs:
-            self.broken.append(f"invented: {job_id}")
-        self.accepted.add(job_id)
-        phase = answer["phase"]
-        if job_id in self.over and phase != self.over[job_id]:
-            self.broken.append(f"went_back: {job_id} from {self.over[job_id]} to {phase}")
-        if phase in ("done", "cancelled"):
-            self.over[job_id] = phase
-            if phase == "cancelled":
-                self.cancelled_at.setdefault(job_id, trio.current_time())
-            missing = [i for i in range(self.specs[job_id]["shards"]) if f"{job_id}/{i}" not in self.finished]
-            if phase == "done" and len(missing) > 0:
-                self.broken.append(f"not_done: {job_id} lacks {missing[:5]}")
-
-    async def _retry(self, method: str, path: str, body: Any, limit: float) -> tuple[int, Any]:
-        end = trio.current_time() + limit
-        turn = 0
-        while True:
-            status, answer = await self.ask(LABELS[turn % 3], method, path, body)
-            if status in (200, 201, 400, 404, 422) or trio.current_time() > end:
-                return status, answer
-            turn += 1
-            await trio.sleep(1.0)
-
-    async def submit(self, spec: dict[str, Any], limit: float = 60.0) -> int:
-        self.specs[spec["uid"]] = spec
-        return (await self._retry("POST", "/v2/runs", spec, limit))[0]
-
-    async def cancel(self, job_id: str, limit: float = 60.0) -> Any:
-        return (await self._retry("POST", f"/v2/runs/{job_id}/cancel", None, limit))[1]
-
-    async def poll(self, job_id: str, label: str | None = None) -> tuple[int, Any]:
-        if label is not None:
-            return await self.ask(label, "GET", f"/v2/runs/{job_id}")
-        return await self._retry("GET", f"/v2/runs/{job_id}", None, 60.0)
-
-    async def until_phase(self, job_id: str, phase: str, limit: float = 120.0) -> None:
-        end = trio.current_time() + limit
-        answer: Any = None
-        while trio.current_time() < end:
-            _, answer = await self.poll(job_id)
-            if answer.get("phase") == phase:
-                return
-            await trio.sleep(0.5)
-        raise AssertionError(f"{job_id} is {answer}, not {phase}, after {limit} s")
-
-    async def until(self, true: Callable[[], bool], limit: float = 60.0) -> None:
-        end = trio.current_time() + limit
-        while not true():
-            assert trio.current_time() < end, "did not come about in time"
-            await trio.sleep(0.05)
-
-    def running(self, job_id: str) -> list[tuple[str, str]]:
-        """Tasks of a job on machines now."""
-        return [(s, w.name) for w in self.workers.values() for s in sorted(w.on) if s.startswith(job_id + "/")]
-
 
 def run_scenario(
     scenario: Callable[[SimulatedCluster], Awaitable[None]],
--- /dev/null
+++ b/tests/simulation/users.py
@@ -0,0 +1,106 @@
+"""Users of the simulated cluster: they submit, poll and cancel, and repeat what is not answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from sorrelsill.http import NoAnswerError, NotSentError, Request
+from tests.simulation.rules import ProtocolRules
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+
+LABELS = ("n0", "n1", "n2")
+
+
+def job(name: str, **fields: Any) -> dict[str, Any]:
+    """A job as a user submits it."""
+    base = {
+        "uid": name,
+        "workload": "w",
+        "owner": "red",
+        "shape": "sweep",
+        "rank": "standard",
+        "shards": 2,
+        "vcpus": 2.0,
+        "gpus": 0.0,
+        "memoryGb": 4.0,
+        "bundle": "img",
+        "sizeGb": 0.5,
+        "flavours": None,
+        "region": None,
+        "oneZone": False,
+        "scatter": False,
+        "reclaimable": False,
+        "expectedRunS": 5.0,
+        "snapshotEveryS": 0.0,
+        "snapshotCostS": 0.0,
+        "dueS": None,
+    }
+    return {**base, **fields}
+
+
+def service(job_id: str, **fields: Any) -> dict[str, Any]:
+    """A service as a user submits it."""
+    return job(job_id, **{"shape": "standing", "expectedRunS": 0.0, **fields})
+
+
+class SimulatedUsers(ProtocolRules):
+    """Every answer to them is held against the rules."""
+
+    async def ask(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """One request of a user to one controller; 0 for no answer."""
+        raw = body if isinstance(body, bytes) else _encode(body) if body is not None else b""
+        try:
+            reply = await self.net.send("user", label, Request(method, path, "", raw), 5.0)
+        except (NotSentError, NoAnswerError):
+            return 0, {}
+        answer = _decode(reply.body) if reply.body else {}
+        self._check_answer(path, reply.status, answer)
+        return reply.status, answer
+
+    async def _retry(self, method: str, path: str, body: Any, limit: float) -> tuple[int, Any]:
+        end = trio.current_time() + limit
+        turn = 0
+        while True:
+            status, answer = await self.ask(LABELS[turn % 3], method, path, body)
+            if status in (200, 201, 400, 404, 422) or trio.current_time() > end:
+                return status, answer
+            turn += 1
+            await trio.sleep(1.0)
+
+    async def submit(self, spec: dict[str, Any], limit: float = 60.0) -> int:
+        self.specs[spec["uid"]] = spec
+        return (await self._retry("POST", "/v2/runs", spec, limit))[0]
+
+    async def cancel(self, job_id: str, limit: float = 60.0) -> Any:
+        return (await self._retry("POST", f"/v2/runs/{job_id}/cancel", None, limit))[1]
+
+    async def poll(self, job_id: str, label: str | None = None) -> tuple[int, Any]:
+        if label is not None:
+            return await self.ask(label, "GET", f"/v2/runs/{job_id}")
+        return await self._retry("GET", f"/v2/runs/{job_id}", None, 60.0)
+
+    async def until_phase(self, job_id: str, phase: str, limit: float = 120.0) -> None:
+        end = trio.current_time() + limit
+        answer: Any = None
+        while trio.current_time() < end:
+            _, answer = await self.poll(job_id)
+            if answer.get("phase") == phase:
+                return
+            await trio.sleep(0.5)
+        raise AssertionError(f"{job_id} is {answer}, not {phase}, after {limit} s")
+
+    async def until(self, true: Callable[[], bool], limit: float = 60.0) -> None:
+        end = trio.current_time() + limit
+        while not true():
+            assert trio.current_time() < end, "did not come about in time"
+            await trio.sleep(0.05)
+
+    def running(self, job_id: str) -> list[tuple[str, str]]:
+        """Tasks of a job on machines now."""
+        return [(s, w.name) for w in self.workers.values() for s in sorted(w.on) if s.startswith(job_id + "/")]
