--- a/sorrelsill/http/heads.py
+++ b/sorrelsill/http/heads.py
@@ -22,6 +22,8 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestHead:
+    """What the head of a plain request says."""
+
     method: str
     path: str
     query: str
@@ -30,6 +32,8 @@
 
 @dataclass(slots=True, frozen=True)
 class ReplyHead:
+    """What the head of a plain answer says."""
+
     status: int
     length: int
 
@@ -47,6 +51,7 @@
 
 @lru_cache(maxsize=constants.HEADS_KEPT)
 def read_request(head: bytes) -> RequestHead | None:
+    """The head of a request, or None if it is not plain."""
     conn = h11.Connection(h11.SERVER)
     conn.receive_data(head)
     try:
@@ -64,6 +69,7 @@
 
 @lru_cache(maxsize=constants.HEADS_KEPT)
 def read_reply(head: bytes) -> ReplyHead | None:
+    """The head of an answer, or None if it is not plain."""
     conn = h11.Connection(h11.CLIENT)
     conn.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
     conn.send(h11.EndOfMessage())
--- a/sorrelsill/http/server.py
+++ b/sorrelsill/http/server.py
@@ -17,6 +17,8 @@
 
 @dataclass(slots=True)
 class Request:
+    """A request as the handlers see it."""
+
     method: str
     path: str
     query: str
@@ -25,6 +27,8 @@
 
 @dataclass(slots=True)
 class Reply:
+    """The answer to a request."""
+
     status: int
     body: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
@@ -70,6 +74,7 @@
 
     @property
     def open(self) -> int:
+        """How many connections are open."""
         return len(self._links)
 
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
--- a/sorrelsill/jobs/admission.py
+++ b/sorrelsill/jobs/admission.py
@@ -80,6 +80,8 @@
 
 
 class Admission:
+    """Takes submissions, polls and cancellations of users."""
+
     def __init__(self, store: Store, view: View, teams: list[Team], time_of_day: Callable[[], float]) -> None:
         self._store = store
         self._view = view
@@ -93,6 +95,7 @@
     # --- submission ---
 
     async def submit(self, body: Any) -> Answer:
+        """Accept a job, or answer what is known of it."""
         try:
             spec = parse_spec(body)
         except InvalidJobError as error:
@@ -253,6 +256,7 @@
     # --- polls ---
 
     async def poll(self, job_id: str) -> Answer:
+        """A job's state, no older than the question."""
         if not valid_job_id(job_id):
             return 404, {"error": "no such job"}
         known = self._known(job_id)
@@ -336,6 +340,7 @@
     # --- cancel ---
 
     async def cancel(self, job_id: str) -> Answer:
+        """Cancel a job, or answer that it is done."""
         if not valid_job_id(job_id):
             return 404, {"error": "no such job"}
         try:
--- a/sorrelsill/jobs/cancellations.py
+++ b/sorrelsill/jobs/cancellations.py
@@ -28,6 +28,8 @@
 
 
 class Cancellations:
+    """What this controller knows to be cancelled, and how far back that is certain to be all."""
+
     def __init__(self, begun: float, cancel_s: float, renew_s: float, peers: int) -> None:
         self._begun = begun
         self._cancel_s = cancel_s
@@ -55,6 +57,7 @@
         return True
 
     def known(self, job_id: str) -> bool:
+        """Whether the job is known to be cancelled."""
         return job_id in self._learnt
 
     def followed(self, since: float, fresh_at: float) -> None:
@@ -80,6 +83,7 @@
         return max(base, min(self._covered, default=now))
 
     def may_renew(self, now: float) -> bool:
+        """Whether a worker's lease may be renewed now."""
         return now - self.certain(now) <= self._renew_s
 
     def suspect_unknown(self, now: float) -> bool:
--- a/sorrelsill/jobs/messages.py
+++ b/sorrelsill/jobs/messages.py
@@ -48,6 +48,7 @@
 
     @property
     def endless(self) -> bool:
+        """Whether its tasks run until the job is cancelled."""
         return self.shape == STANDING
 
     @property
@@ -62,6 +63,7 @@
 
 
 def valid_job_id(job_id: object) -> bool:
+    """Whether this is a name that a job may have."""
     return isinstance(job_id, str) and _UID.match(job_id) is not None
 
 
--- a/sorrelsill/jobs/record_writer.py
+++ b/sorrelsill/jobs/record_writer.py
@@ -84,6 +84,7 @@
 
     @property
     def set_aside(self) -> int:
+        """How many changes are left out for now since the store refuses them."""
         return len(self._aside)
 
     async def step(self) -> bool:
--- a/sorrelsill/jobs/records.py
+++ b/sorrelsill/jobs/records.py
@@ -110,6 +110,7 @@
 
 
 def chunk_value(done: TaskSet, number: int, size: int = constants.CHUNK_SHARDS) -> str:
+    """The finished tasks of one part of a large job, as stored."""
     start = number * size
     return done.encode(start, min(done.size, start + size))
 
--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -36,9 +36,11 @@
         self._asked_at = trio.current_time()
 
     def beat(self, loop: str) -> None:
+        """The loop goes on."""
         self._beats[loop] = trio.current_time()
 
     def exited(self, loop: str) -> None:
+        """The loop has ended for good."""
         self._exited.add(loop)
 
     def out(self) -> list[str]:
@@ -149,6 +151,7 @@
             self._drop()
 
     async def run(self) -> None:
+        """Keep, lose and take the key for ever."""
         while True:
             if self.term is not None:
                 await self._keep()
--- a/sorrelsill/metrics.py
+++ b/sorrelsill/metrics.py
@@ -20,6 +20,7 @@
 
 
 def render(state: dict[str, Any]) -> bytes:
+    """The metrics page, out of what `Controller.state` tells."""
     registry = CollectorRegistry()
     leading = Gauge("sorrelsill_leader_status", "1 on the leader, 0 on followers", registry=registry)
     leading.set(1 if state["leading"] else 0)
--- a/sorrelsill/peers/degraded_mode.py
+++ b/sorrelsill/peers/degraded_mode.py
@@ -32,6 +32,8 @@
 
 
 class DegradedMode:
+    """Promises between controllers that all lack the state service."""
+
     def __init__(
         self,
         store: Store,
@@ -121,6 +123,7 @@
         return answer if isinstance(answer, dict) else None
 
     async def run(self) -> None:
+        """Ask for promises for as long as the state service is missing."""
         while True:
             if self._failing() and not self._elector.acquiring:
                 self._bind()
--- a/sorrelsill/serve.py
+++ b/sorrelsill/serve.py
@@ -35,6 +35,7 @@
 
 
 async def run(settings: Settings, operator: Operator) -> None:
+    """Listen and serve until cancelled."""
     node = Controller(settings, operator, random.Random())
     sockets = settings.facts.quota.sockets
     peers = constants.PEER_SOCKETS if settings.members else 0
@@ -70,6 +71,7 @@
 
 
 def serve(config: str, operator_file: str | None) -> int:
+    """Run a controller by its settings files; returns the process's exit code."""
     level = _LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
     logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s: %(message)s")
     try:
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -17,17 +17,23 @@
 
 
 class Member(msgspec.Struct, frozen=True):
+    """Another controller."""
+
     label: str
     addr: str
     area: str = ""
 
 
 class Services(msgspec.Struct, frozen=True):
+    """Addresses of the cloud and of the state service."""
+
     cloud: str
     state: str
 
 
 class Team(msgspec.Struct, frozen=True):
+    """What a team is guaranteed and may use at the most; 0 means none."""
+
     name: str
     cpus: float = 0.0
     cpus_max: float = 0.0
@@ -36,6 +42,8 @@
 
 
 class Objective(msgspec.Struct, frozen=True, rename={"workload": "class"}):
+    """An aim for a class of jobs."""
+
     kind: str
     workload: str | None = None
     within_s: float | None = None
@@ -45,6 +53,8 @@
 
 
 class Workers(msgspec.Struct, frozen=True):
+    """The workers' timings."""
+
     report_s: float
     lease_s: float
     cancel_s: float
@@ -61,6 +71,8 @@
 
 
 class StateLimits(msgspec.Struct, frozen=True):
+    """Rates and sizes that the state service allows."""
+
     rps: float
     write_rps: float
     value_kb: float
@@ -80,17 +92,23 @@
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
+    """The cloud's rate, and how far its machine list lags."""
+
     rps: float
     list_lag_s: float = 0.0
 
 
 class Quota(msgspec.Struct, frozen=True):
+    """What a controller may use of its machine."""
+
     cpu: float = 1.0
     ram_mb: float = 512.0
     sockets: int = 1024
 
 
 class Facts(msgspec.Struct, frozen=True):
+    """What the platform tells of the deployment."""
+
     workers: Workers
     state: StateLimits
     cloud: CloudLimits
@@ -103,6 +121,8 @@
 
 
 class Settings(msgspec.Struct, frozen=True):
+    """The platform's settings file."""
+
     label: str
     listen: str
     services: Services
@@ -138,6 +158,7 @@
 
     @classmethod
     def derive(cls, workers: Workers, operator: Operator) -> Timings:
+        """All timings out of the workers' and what operators override."""
         lease = operator.lease_s or min(
             constants.LEASE_MAX_S, max(constants.LEASE_MIN_S, workers.lease_s * constants.LEASE_OF_WORKER_LEASE)
         )
--- a/sorrelsill/store/budget.py
+++ b/sorrelsill/store/budget.py
@@ -26,6 +26,7 @@
         self._level -= amount
 
     def ready(self, amount: float = 1.0) -> bool:
+        """Whether so much could be taken now."""
         self._refill(trio.current_time())
         return self._level >= min(amount, self.burst)
 
@@ -43,5 +44,6 @@
         self._level -= amount
 
     def level(self) -> float:
+        """How much is saved up."""
         self._refill(trio.current_time())
         return self._level
--- a/sorrelsill/store/client.py
+++ b/sorrelsill/store/client.py
@@ -44,20 +44,26 @@
 
 @dataclass(slots=True, frozen=True)
 class Condition:
+    """A key must have this revision; 0 means that it must not exist."""
+
     key: str
     rev: int
 
     def wire(self) -> dict[str, Any]:
+        """As the state service reads it."""
         return {"k": self.key, "keyRev": self.rev}
 
 
 @dataclass(slots=True, frozen=True)
 class Put:
+    """Write a value, attached to a lease if one is named."""
+
     key: str
     value: Any
     lease: int | None = None
 
     def wire(self) -> dict[str, Any]:
+        """As the state service reads it."""
         out: dict[str, Any] = {"set": self.key, "value": self.value}
         if self.lease is not None:
             out["tenancy"] = self.lease
@@ -66,9 +72,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Remove:
+    """Remove a key."""
+
     key: str
 
     def wire(self) -> dict[str, Any]:
+        """As the state service reads it."""
         return {"remove": self.key}
 
 
@@ -225,6 +234,7 @@
         raise UnavailableError(text)
 
     async def grant(self, ttl_s: float, timeout: float) -> int:
+        """A new lease; returns its number."""
         status, answer = await self._call("POST", "/grants", {"ttlMs": int(ttl_s * 1000)}, timeout=timeout, urgent=True)
         if status != 200:
             raise UnavailableError(f"the store answers {status} to a grant")
@@ -238,6 +248,7 @@
         raise AmbiguousError(f"the store answers {status} to a renewal")
 
     async def revoke(self, lease: int, timeout: float) -> None:
+        """End a lease at once."""
         await self._call("DELETE", f"/grants/{lease}", timeout=timeout, urgent=True)
 
     async def follow(
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -35,18 +35,22 @@
 
 
 def job_key(job_id: str) -> str:
+    """The key of a live job."""
     return JOB_PREFIX + job_id
 
 
 def final_key(job_id: str) -> str:
+    """The key of a job that is over."""
     return _FINAL + job_id
 
 
 def chunk_key(job_id: str, number: int) -> str:
+    """The key of some finished tasks of a very large job."""
     return f"{_CHUNK}{job_id}/{number}"
 
 
 def part_key(job_id: str, number: int) -> str:
+    """The key of finished tasks in smaller parts."""
     return f"{_PART}{job_id}/{number}"
 
 
@@ -89,9 +93,11 @@
     # --- what the keys hold ---
 
     def job(self, job_id: str) -> tuple[Any, int] | None:
+        """The record of a live job and its revision."""
         return self.keys.get(JOB_PREFIX + job_id)
 
     def jobs(self) -> list[tuple[str, Any, int]]:
+        """Names, records and revisions of all live jobs."""
         return [(k[len(JOB_PREFIX) :], v, r) for k, (v, r) in self.keys.items() if k.startswith(JOB_PREFIX)]
 
     def chunks(self, job_id: str) -> list[tuple[int, Any]]:
@@ -105,6 +111,7 @@
         return out
 
     def chunk_keys(self, job_id: str) -> list[str]:
+        """Keys of finished tasks kept beside a job's record."""
         return sorted(self._chunk_keys.get(job_id, ()))
 
     def orphans(self) -> list[str]:
@@ -122,16 +129,20 @@
         return out
 
     def roster(self) -> list[tuple[str, Any]]:
+        """Machines that may hold work, and their entries as stored."""
         parts = [v for k, (v, _) in self.keys.items() if k.startswith(_ROSTER) and isinstance(v, dict)]
         return [(name, value) for part in parts for name, value in part.items()]
 
     def leader(self) -> tuple[Any, int] | None:
+        """The value of the leader key and its revision."""
         return self.keys.get(LEADER)
 
     def final(self, job_id: str) -> Any | None:
+        """The final state of a job, if it is remembered."""
         return self.finals.get(job_id)
 
     def remember_final(self, job_id: str, value: Any) -> None:
+        """Keep a final state in memory, and tell of it."""
         self.finals[job_id] = value
         self._on_final(job_id, value)
         while len(self.finals) > constants.FINAL_CACHE:
@@ -279,6 +290,7 @@
         return self.fresh_at >= start
 
     async def run_barriers(self) -> None:
+        """Serve the barriers that are asked for, for ever."""
         while True:
             await self._asked.wait()
             pause = self._last_barrier + self._barrier_gap - trio.current_time()
--- a/sorrelsill/workers/attempt.py
+++ b/sorrelsill/workers/attempt.py
@@ -40,4 +40,5 @@
 
     @property
     def key(self) -> tuple[str, int]:
+        """Its task and attempt number, which no other attempt shares."""
         return self.task_id, self.attempt_number
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -31,6 +31,8 @@
 
 
 class ClusterState:
+    """One term's view of jobs, machines and attempts."""
+
     def __init__(
         self,
         term: int,
@@ -111,6 +113,7 @@
     def add_job(
         self, spec: JobSpec, done: TaskSet, rev: int, old: bool, submitted: float, why: list[str], accepted: float = 0.0
     ) -> Job:
+        """A live job; tasks of it that are on machines already are adopted."""
         job = Job(spec, done, rev, old, submitted, why)
         job.accepted = accepted
         self._jobs_added += 1
@@ -271,6 +274,7 @@
         return constants.GROUP_SPARE * sum(s.cpus * s.shards for s in largest if s is not None)
 
     def release_all(self, machine: Machine, now: float, reason: str) -> None:
+        """All that was on the machine is proved gone."""
         for attempt in list(machine.attempts.values()):
             job = self.jobs.get(attempt.job_id)
             if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
@@ -283,6 +287,7 @@
     # --- machines ---
 
     def set_catalog(self, catalog: Catalog) -> None:
+        """Sizes of machines are known anew."""
         self.catalog = catalog
         for machine in self.machines.values():
             self._size(machine)
@@ -297,6 +302,7 @@
             self.index.room_changed(machine)
 
     def machine(self, name: str, machine_type: str, zone: str, spot: bool, now: float) -> Machine:
+        """The machine of that name, made if it was not known."""
         machine = self.machines.get(name)
         if machine is None:
             machine = self.machines[name] = Machine(name, now, self._usable_changed)
--- a/sorrelsill/workers/commands.py
+++ b/sorrelsill/workers/commands.py
@@ -41,6 +41,7 @@
 
 
 def has_direct_commands(cluster: ClusterState, machine: Machine, fresh: bool) -> bool:
+    """Whether a machine is due commands that were not sent yet."""
     return any(_direct(cluster, a, fresh) for a in machine.attempts.values())
 
 
--- a/sorrelsill/workers/job.py
+++ b/sorrelsill/workers/job.py
@@ -58,6 +58,7 @@
 
     @property
     def waiting(self) -> int:
+        """Tasks that are neither done nor bound."""
         return self.spec.shards - self.done.count - len(self.bound)
 
     @property
@@ -89,6 +90,7 @@
         return sum(1 for a in self.bound.values() if a.phase in ("running", "saving"))
 
     def note(self, text: str) -> None:
+        """Tell its users why tasks stopped or wait; the newest notes are kept."""
         if not self.why or self.why[-1] != text:
             self.why.append(text)
             del self.why[: -constants.WHY_NOTES]
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -66,12 +66,14 @@
             self.count_ended(team, cpus, gpus)
 
     def count_ended(self, team: str, cpus: float, gpus: float) -> None:
+        """A job that is over may still use so much."""
         if self._ended_unaccounted is not None:
             have = self._ended_unaccounted.get(team, (0.0, 0.0))
             self._ended_unaccounted[team] = have[0] + cpus, have[1] + gpus
             self._unaccounted = None
 
     def confirm(self, name: str) -> None:
+        """The machine was heard with the new token, or holds nothing any more."""
         sort = self.unconfirmed.pop(name, None)
         if sort is not None:
             self._unconfirmed_kinds[sort] -= 1
