--- a/tests/load/leader_cpu.py
+++ b/tests/load/leader_cpu.py
@@ -25,8 +25,9 @@
 from sorrelsill.fleet import Cloud, FleetManager
 from sorrelsill.fleet.machine_list import ListedMachine
 from sorrelsill.http import Client, Reply, Request, Server
-from sorrelsill.jobs import JobSpec
-from sorrelsill.settings import CloudLimits, Team
+from sorrelsill.jobs import JobSpec, RecordWriter
+from sorrelsill.settings import CloudLimits, StateLimits, Team
+from sorrelsill.store import Store, View
 from sorrelsill.workers import enforce_gang_completeness, parse_report
 from tests.simulation.leader_in_memory import LeaderInMemory, array_job
 
@@ -78,7 +79,7 @@
         self._ends: list[tuple[float, str, tuple[str, int]]] = []
         self._changed: set[str] = set()
         self._schedule = deque(self.leader.names)
-        self.parts = {name: _Part() for name in ("reports", "losses", "rounds", "fleet", "list")}
+        self.parts = {name: _Part() for name in ("reports", "losses", "rounds", "records", "fleet", "list")}
         cloud = Cloud(Client("10.0.0.1:1"), CloudLimits(5.0, 12.0))
         self._fleet = FleetManager(
             cloud,
@@ -90,6 +91,8 @@
             {"service"},
         )
         self._fleet._lists = 1
+        store = Store(Client("10.0.0.1:2"), StateLimits(1e6, 1e6, 32.0, 40), 3)
+        self._record_writer = RecordWriter(store, View(store, 60.0), self.leader.cluster, lambda: True)
         self.reports = 0
         self.waiting_most = 0
 
@@ -154,8 +157,14 @@
             self._report(name)
 
     def _record(self) -> None:
-        """What the writer of records does to the cluster state once a write is committed."""
+        """What the writer of records does to the cluster state once a write is committed; what it looks for with every
+        live job's progress due is measured."""
         cluster = self.leader.cluster
+        if self.leader.now % constants.WRITER_TICK_S < STEP_S:
+            due, cluster.dirty = cluster.dirty, set(cluster.jobs)
+            with self.parts["records"]:
+                self._record_writer._due()
+            cluster.dirty = due
         for job_id in list(cluster.dirty):
             job = cluster.jobs.get(job_id)
             for attempt in cluster.attempts.unrecorded(job_id):
