Membership: silent controllers are suspected, and confirmed only on the evidence of all

Need: a controller that goes quiet is noticed by nobody but its workers and users; what detection may rest on had to be settled before duties can be handed over by it.

On by deploy/membership.hcl, off in run. It entitles nobody: leading needs the key, as before. It tells the elector whether others could take the key, and operators who is alive, suspected or confirmed, and by what.

--- a/sorrelsill/cli.py
+++ b/sorrelsill/cli.py
@@ -14,6 +14,7 @@
 
 from sorrelsill import __version__, constants
 from sorrelsill.http import Client, NoAnswerError, NotSentError
+from sorrelsill.membership import load_membership
 from sorrelsill.settings import SettingsError, Timings, load, load_operator, split_addr
 
 F = TypeVar("F", bound=Callable[..., Any])
@@ -56,25 +57,31 @@
 @main.command()
 @click.option("--config", required=True, help="the platform's settings file (TOML)")
 @click.option("--operator", default=None, help="the operators' own settings (HCL)")
-def serve(config: str, operator: str | None) -> None:
+@click.option("--membership", default=None, help="turns failure detection on (HCL, see deploy/membership.hcl)")
+def serve(config: str, operator: str | None, membership: str | None) -> None:
     """Run a controller until it is killed."""
     from sorrelsill.serve import serve as run  # noqa: PLC0415 - only this verb needs the whole service
 
-    sys.exit(run(config, operator))
+    sys.exit(run(config, operator, membership))
 
 
 @main.command()
 @click.option("--config", required=True, help="the platform's settings file (TOML)")
 @click.option("--operator", default=None, help="the operators' own settings (HCL)")
-def check(config: str, operator: str | None) -> None:
+@click.option("--membership", default=None, help="the file that turns failure detection on (HCL)")
+def check(config: str, operator: str | None, membership: str | None) -> None:
     """Check settings and show the timings derived from them."""
     try:
         settings = load(config)
         timings = Timings.derive(settings.facts.workers, load_operator(operator))
+        detection = load_membership(membership)
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
-    _print({"label": settings.label, **msgspec.to_builtins(timings)})
+    shown = {"label": settings.label, **msgspec.to_builtins(timings)}
+    if detection is not None:
+        shown["membership"] = msgspec.to_builtins(detection)
+    _print(shown)
 
 
 @main.command()
@@ -123,8 +130,13 @@
 @main.command()
 @_controller
 def status(controller: str) -> None:
-    """What a controller believes: who leads, machines, jobs, waiting tasks."""
-    _print(_ask(controller, "GET", "/state"))
+    """What a controller believes: who leads, machines, jobs, waiting tasks, the other controllers."""
+    state = _ask(controller, "GET", "/state")
+    peers = state.pop("peers", None) or {}
+    _print(state)
+    for label, peer in sorted(peers.items()):
+        since = f" for {peer['for_s']} s" if peer["for_s"] is not None else ""
+        click.echo(f"{label}\t{peer['status']}{since}\t{peer['evidence']}")
 
 
 if __name__ == "__main__":
--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -181,6 +181,13 @@
 SETTLED_S: Final = 60.0  # s; a replica is moved for money only once it has run this long
 MIN_CHARGE_S: Final = 60.0  # s; a machine costs at least this, so returning sooner saves nothing
 
+# --- membership -------------------------------------------------------------------------------------
+TICK_LATE_S: Final = 0.25  # s; a tick that comes later than this shows that the process itself did not run meanwhile
+GAPS_KEPT: Final = 64  # gaps; between signs of life, from which their mean and spread are taken
+GAPS_ENOUGH: Final = 8  # gaps; with fewer the configured interval counts
+PRESENCE_RENEW_OF_LEASE: Final = 0.25  # ratio; of the presence lease, between two renewals: three may be missed
+COMPLAIN_EVERY_S: Final = 10.0  # s; between two log lines about membership messages that were refused
+
 # --- peers ------------------------------------------------------------------------------------------
 PROMISE_S: Final = 2.0  # s; a promise not to lead or acquire lasts this long
 PROMISE_EVERY_S: Final = 0.6  # s; and is renewed this often
--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -20,6 +20,7 @@
 from sorrelsill.http import Client, Reply, Request
 from sorrelsill.jobs import Admission, Cancellations, RecordWriter, json_size
 from sorrelsill.leadership import Elector, Watchdog
+from sorrelsill.membership import PRESENCE_PREFIX, Membership, MembershipSettings, PresenceKeeper
 from sorrelsill.peers import DegradedMode
 from sorrelsill.placement import Placer
 from sorrelsill.settings import Operator, Settings, Timings
@@ -42,7 +43,9 @@
         rng: random.Random,
         make_client: Callable[[str], Client] = Client,
         time_of_day: Callable[[], float] = time.time,
+        membership: MembershipSettings | None = None,
     ) -> None:
+        """`membership` turns failure detection on."""
         facts = settings.facts
         now = trio.current_time()
         self.settings = settings
@@ -57,7 +60,12 @@
 
         ended_window_s = facts.workers.cancel_s + facts.workers.lease_s
         self.store = Store(make_client(settings.services.state), facts.state, facts.nodes)
-        self.view = View(self.store, ended_window_s + constants.ENDED_MARGIN_S, self._on_final)
+        self.view = View(
+            self.store,
+            ended_window_s + constants.ENDED_MARGIN_S,
+            self._on_final,
+            (PRESENCE_PREFIX,) if membership is not None else (),
+        )
         self.cancellations = Cancellations(now, facts.workers.cancel_s, self.timings.renew_s, len(settings.members))
         self.followed_jobs = FollowedJobs(self.view, self.cancellations, time_of_day, ended_window_s)
         self.admission = Admission(self.store, self.view, facts.teams, time_of_day)
@@ -72,7 +80,7 @@
             [member.label for member in settings.members],
             on_term=self._on_term,
             hears_no_worker=self._hears_no_worker,
-            other_candidates=lambda former: self.degraded_mode.other_candidates(former),
+            other_candidates=self._other_candidates,
         )
         self.elector.acquire_after = now + (constants.PROMISE_S if settings.members else 0.0)
         self.degraded_mode = DegradedMode(
@@ -101,6 +109,12 @@
             self._news,
         )
         self.view.listeners.append(self._on_key)
+        self.membership = self._make_membership(membership, make_client) if membership is not None else None
+
+    def _make_membership(self, membership: MembershipSettings, make_client: Callable[[str], Client]) -> Membership:
+        settings = self.settings
+        presence = PresenceKeeper(self.store, self.view, settings.label, membership.presence_lease_s)
+        return Membership(settings.label, settings.members, membership, make_client, presence, self._count)
 
     @property
     def cluster(self) -> ClusterState | None:
@@ -189,6 +203,12 @@
         limit = constants.DEAF_REPORTS * self.settings.facts.workers.report_s + constants.DEAF_EXTRA_S
         return self.cluster is not None and self.cluster.hears_no_worker(trio.current_time(), limit)
 
+    async def _other_candidates(self, former: str) -> bool:
+        """Whether any controller but the former leader could take the key now: as detection knows, or by asking."""
+        if self.membership is not None and any(label != former for label in self.membership.view.alive()):
+            return True
+        return await self.degraded_mode.other_candidates(former)
+
     def _fresh(self) -> bool:
         """Whether the view of the jobs is recent enough to start anything on it."""
         return trio.current_time() - self.view.fresh_at < constants.VIEW_STALE_S
@@ -230,7 +250,8 @@
     async def handle_peer(self, request: Request) -> Reply:
         """The other controllers."""
         if request.path != "/promise":
-            return Reply(404)
+            reply = await self.membership.handle(request) if self.membership is not None else None
+            return reply or Reply(404)
         if request.method != "POST":
             return Reply(405)
         return Reply(200, self.degraded_mode.answer(request.body), kind="application/json")
@@ -263,6 +284,7 @@
             "refused": self.store.refused,
             "set_aside": self.leading.record_writer.set_aside if self.leading else 0,
             "counts": self.counts,
+            "peers": self.membership.state() if self.membership is not None else None,
         }
 
     # --- loops ---
@@ -275,6 +297,8 @@
             nursery.start_soon(self.admission.run)
             nursery.start_soon(self.elector.run)
             nursery.start_soon(self.degraded_mode.run)
+            if self.membership is not None:
+                nursery.start_soon(self.membership.run)
             self._nursery = nursery
             nursery.start_soon(self._loop, "place", self._place, self.tick_s)
             nursery.start_soon(self._loop, "record", self._record, constants.WRITER_TICK_S)
--- /dev/null
+++ b/sorrelsill/membership/presence.py
@@ -0,0 +1,68 @@
+"""This controller's own key in the state service: attached to a lease, so that its end proves a silence to all.
+
+Its revision is the number of the process. The key entitles nobody to anything."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from sorrelsill import constants
+from sorrelsill.membership.detector import Presence
+from sorrelsill.store import AmbiguousError, Put, Store, UnavailableError, View
+
+log = logging.getLogger(__name__)
+
+PRESENCE_PREFIX = "s/n/"
+
+
+def presence_key(label: str) -> str:
+    """The key of a controller."""
+    return PRESENCE_PREFIX + label
+
+
+class PresenceKeeper:
+    """Holds the key for as long as the process runs."""
+
+    def __init__(self, store: Store, view: View, label: str, lease_s: float) -> None:
+        self._store = store
+        self._view = view
+        self._key = presence_key(label)
+        self._lease_s = lease_s
+        self._lease: int | None = None
+        self.process = 0  # revision of our key; 0 before we have one
+
+    def of(self, label: str, now: float) -> Presence:
+        """Whether another controller's key is there, and how far that can be told now."""
+        fresh = self._view.loaded and now - self._view.fresh_at < constants.VIEW_STALE_S
+        return Presence(presence_key(label) in self._view.keys, fresh and self._store.failing_for() == 0)
+
+    async def run(self) -> None:
+        """Register, renew, and register anew when the lease or the key is gone."""
+        while True:
+            try:
+                await self._step()
+            except (UnavailableError, AmbiguousError) as error:
+                log.debug("presence: %s", error)
+            await trio.sleep(self._lease_s * constants.PRESENCE_RENEW_OF_LEASE)
+
+    async def _step(self) -> None:
+        timeout_s = self._lease_s * constants.PRESENCE_RENEW_OF_LEASE
+        if self._lease is not None and not await self._store.renew(self._lease, timeout_s):
+            self._lease = None
+        if self._lease is None:
+            self._lease = await self._store.grant(self._lease_s, timeout_s)
+            await self._write()
+        elif self._overwritten():
+            await self._write()
+
+    def _overwritten(self) -> bool:
+        """Whether a late write of an earlier process of ours replaced the key: it goes with that process's lease."""
+        known = self._view.keys.get(self._key)
+        return self._view.rev >= self.process and (known is None or known[1] != self.process)
+
+    async def _write(self) -> None:
+        txn = await self._store.multi([], [Put(self._key, {"lease": self._lease}, self._lease)], urgent=True)
+        if txn.ok:
+            self.process = txn.rev
--- /dev/null
+++ b/sorrelsill/membership/service.py
@@ -0,0 +1,236 @@
+"""Heartbeats and probes between controllers, and the loop that judges them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from sorrelsill import constants
+from sorrelsill.http import Client, NoAnswerError, NotSentError, Reply, Request
+from sorrelsill.membership.arrivals import AwakeClock
+from sorrelsill.membership.detector import Detector
+from sorrelsill.membership.messages import (
+    Heartbeat,
+    Incarnation,
+    MalformedMessageError,
+    ProbeAnswer,
+    ProbeRequest,
+    encode,
+    parse,
+)
+from sorrelsill.membership.presence import PresenceKeeper
+from sorrelsill.membership.settings import MembershipSettings
+from sorrelsill.membership.view import MembershipView, Peer, Status
+from sorrelsill.settings import Member
+
+log = logging.getLogger(__name__)
+
+_PREFIX = "/membership/"
+_HEARTBEAT = _PREFIX + "heartbeat"
+_PROBE = _PREFIX + "probe"
+_NOT_FOUND = 404
+
+
+class Membership:
+    """What this controller knows of the others. It decides nothing; it only tells."""
+
+    def __init__(
+        self,
+        label: str,
+        members: list[Member],
+        settings: MembershipSettings,
+        make_client: Callable[[str], Client],
+        presence: PresenceKeeper,
+        count: Callable[[str], None],
+    ) -> None:
+        self._label = label
+        self._cluster = ",".join(sorted([label, *(member.label for member in members)]))
+        self._settings = settings
+        self._clients = {member.label: make_client(member.addr) for member in members}
+        self._presence = presence
+        self._count = count  # of events, for the metrics
+        self._clock = AwakeClock(trio.current_time(), settings.heartbeat_s)
+        self._detector = Detector(sorted(self._clients), settings)
+        self._sequence = 0
+        self._refutations = 0
+        self._probing: set[str] = set()  # one round at a time for each
+        self._complained_at = float("-inf")
+
+    @property
+    def view(self) -> MembershipView:
+        """The present snapshot."""
+        return self._detector.view
+
+    def state(self) -> dict[str, Any]:
+        """For operators: each other controller's status, since how long, and by what evidence."""
+        now = trio.current_time()
+        return {
+            label: {
+                "status": peer.status.value,
+                "for_s": round(now - peer.since, 1) if peer.since > float("-inf") else None,
+                "evidence": peer.evidence,
+            }
+            for label, peer in sorted(self.view.peers.items())
+        }
+
+    # --- what others ask ---
+
+    async def handle(self, request: Request) -> Reply | None:
+        """Answer another controller; None if the path is not ours."""
+        if not request.path.startswith(_PREFIX):
+            return None
+        if request.method != "POST":
+            return Reply(405)
+        try:
+            if request.path == _HEARTBEAT:
+                return self._answer_heartbeat(parse(request.body, Heartbeat))
+            if request.path == _PROBE:
+                return await self._answer_probe(parse(request.body, ProbeRequest))
+        except MalformedMessageError as error:
+            return self._refuse(str(error))
+        return Reply(_NOT_FOUND)
+
+    def _answer_heartbeat(self, message: Heartbeat) -> Reply:
+        if not self._knows(message.cluster, message.sender):
+            return self._refuse(f"heartbeat of {message.sender!r}, which is no member")
+        self._take(message)
+        return self._reply(self._own_heartbeat())
+
+    async def _answer_probe(self, asked: ProbeRequest) -> Reply:
+        if not self._knows(asked.cluster, asked.sender) or asked.target not in self._clients:
+            return self._refuse(f"probe of {asked.target!r} for {asked.sender!r}, which are not both members")
+        return self._reply(ProbeAnswer(await self._exchange(asked.target)))
+
+    def _knows(self, cluster: str, sender: str) -> bool:
+        return cluster == self._cluster and sender in self._clients
+
+    def _refuse(self, why: str) -> Reply:
+        """Bad input is counted, and named in the log at a bounded rate."""
+        self._count("membership_refused")
+        now = trio.current_time()
+        if now - self._complained_at >= constants.COMPLAIN_EVERY_S:
+            self._complained_at = now
+            log.warning("membership message refused: %.200s", why)
+        return Reply(400, b"{}", kind="application/json")
+
+    @staticmethod
+    def _reply(message: Heartbeat | ProbeAnswer) -> Reply:
+        return Reply(200, encode(message), kind="application/json")
+
+    # --- what we send ---
+
+    def _own_heartbeat(self) -> Heartbeat:
+        self._sequence += 1
+        suspects = {p.label: p.incarnation for p in self.view.peers.values() if p.status is Status.SUSPECTED}
+        incarnation = Incarnation(self._presence.process, self._refutations)
+        return Heartbeat(self._cluster, self._label, incarnation, self._sequence, suspects)
+
+    def _take(self, message: Heartbeat, through: str | None = None) -> bool:
+        """A sign of life of another controller. We refute what it suspects of this process."""
+        suspected = message.suspects.get(self._label)
+        if suspected is not None and suspected >= Incarnation(self._presence.process, self._refutations):
+            self._refutations += 1
+            self._count("membership_refuted")
+        now = trio.current_time()
+        before = self.view.peers[message.sender].status
+        taken = self._detector.heard(message, now, self._clock.awake(now), through)
+        if taken and before in (Status.SUSPECTED, Status.CONFIRMED):
+            self._count("membership_cleared")
+            log.info("%s is alive: %s", message.sender, self.view.peers[message.sender].evidence)
+        return taken
+
+    async def _exchange(self, label: str) -> Heartbeat | None:
+        """Our heartbeat for the other's; None if it did not answer with one."""
+        try:
+            status, raw = await self._clients[label].request(
+                "POST", _HEARTBEAT, encode(self._own_heartbeat()), self._settings.probe_timeout_s
+            )
+            if status == _NOT_FOUND:
+                self._detector.former_version(label, trio.current_time())
+            answer = parse(raw, Heartbeat) if status == 200 else None
+        except (NotSentError, NoAnswerError, MalformedMessageError) as error:
+            log.debug("heartbeat to %s: %s", label, error)
+            return None
+        if answer is None or answer.sender != label or answer.cluster != self._cluster:
+            return None
+        self._take(answer)
+        return answer
+
+    async def _probe_through(self, helper: str, target: str) -> bool:
+        """Whether the target answers another controller."""
+        asked = ProbeRequest(self._cluster, self._label, target)
+        try:
+            status, raw = await self._clients[helper].request(
+                "POST", _PROBE, encode(asked), 2 * self._settings.probe_timeout_s
+            )
+            answer = parse(raw, ProbeAnswer) if status == 200 else ProbeAnswer()
+        except (NotSentError, NoAnswerError, MalformedMessageError) as error:
+            log.debug("probe of %s through %s: %s", target, helper, error)
+            return False
+        heard = answer.heard
+        if heard is None or heard.sender != target or heard.cluster != self._cluster:
+            return False
+        return self._take(heard, helper)
+
+    # --- loops ---
+
+    async def run(self) -> None:
+        """Send heartbeats, probe, judge."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._presence.run)
+            for label in self._clients:
+                nursery.start_soon(self._send_heartbeats, label)
+            nursery.start_soon(self._judge_for_ever, nursery)
+
+    async def _send_heartbeats(self, label: str) -> None:
+        while True:
+            begun_at = trio.current_time()
+            await self._exchange(label)
+            await trio.sleep_until(max(begun_at + self._settings.heartbeat_s, trio.current_time()))
+
+    async def _judge_for_ever(self, nursery: trio.Nursery) -> None:
+        probed_at = float("-inf")
+        while True:
+            await trio.sleep(self._settings.heartbeat_s)
+            now = trio.current_time()
+            self._clock.tick(now)
+            self._judge(now)
+            if now - probed_at >= self._settings.probe_every_s:
+                probed_at = now
+                for label in self._detector.suspects(self._clock.awake(now)):
+                    if label not in self._probing:
+                        self._probing.add(label)
+                        nursery.start_soon(self._probe_round, label)
+
+    def _judge(self, now: float) -> None:
+        presences = {label: self._presence.of(label, now) for label in self._clients}
+        for peer in self._detector.judge(presences, now, self._clock.awake(now)):
+            self._tell(peer)
+
+    def _tell(self, peer: Peer) -> None:
+        self._count(f"membership_{peer.status.value}")
+        log.info("%s is %s: %s", peer.label, peer.status.value, peer.evidence)
+
+    async def _probe_round(self, label: str) -> None:
+        """Directly first, then through all others that are alive, side by side."""
+        begun_at = trio.current_time()
+        try:
+            if await self._exchange(label) is not None:
+                return
+            found = False
+
+            async def ask(helper: str) -> None:
+                nonlocal found
+                found |= await self._probe_through(helper, label)
+
+            async with trio.open_nursery() as nursery:
+                for helper in self.view.alive():
+                    if helper != label:
+                        nursery.start_soon(ask, helper)
+            if not found:
+                self._detector.round_failed(label, begun_at)
+        finally:
+            self._probing.discard(label)
--- a/sorrelsill/metrics.py
+++ b/sorrelsill/metrics.py
@@ -29,6 +29,12 @@
     for name in _GAUGES:
         if state[name] is not None:
             Gauge(f"sorrelsill_{name}", f"{name} as this controller believes", registry=registry).set(state[name])
+    if state["peers"] is not None:
+        peers = Gauge(
+            "sorrelsill_peer", "1 for the status of each other controller", ["peer", "status"], registry=registry
+        )
+        for label, peer in state["peers"].items():
+            peers.labels(peer=label, status=peer["status"]).set(1)
     events = Counter("sorrelsill_events", "what was answered", ["event"], registry=registry)
     for name, count in state["counts"].items():
         events.labels(event=name).inc(count)
--- a/sorrelsill/serve.py
+++ b/sorrelsill/serve.py
@@ -13,6 +13,7 @@
 from sorrelsill import constants
 from sorrelsill.controller import Controller
 from sorrelsill.http import Server
+from sorrelsill.membership import MembershipSettings, load_membership
 from sorrelsill.settings import Operator, Settings, SettingsError, load, load_operator, split_addr
 from sorrelsill.workers import CallLimits
 
@@ -34,9 +35,9 @@
     return trio.SocketListener(sock)
 
 
-async def run(settings: Settings, operator: Operator) -> None:
+async def run(settings: Settings, operator: Operator, membership: MembershipSettings | None = None) -> None:
     """Listen and serve until cancelled."""
-    node = Controller(settings, operator, random.Random())
+    node = Controller(settings, operator, random.Random(), membership=membership)
     sockets = settings.facts.quota.sockets
     peers = constants.PEER_SOCKETS if settings.members else 0
     pushes = CallLimits.derive(sockets).connections
@@ -63,20 +64,22 @@
     @click.command(add_help_option=True)
     @click.option("--config", required=True, help="the platform's settings file (TOML)")
     @click.option("--operator", default=None, help="the operators' own settings (HCL)")
-    def command(config: str, operator: str | None) -> None:
-        sys.exit(serve(config, operator))
+    @click.option("--membership", default=None, help="turns failure detection on (HCL, see deploy/membership.hcl)")
+    def command(config: str, operator: str | None, membership: str | None) -> None:
+        sys.exit(serve(config, operator, membership))
 
     command.main(args=argv, prog_name="run.py")
     return 0
 
 
-def serve(config: str, operator_file: str | None) -> int:
+def serve(config: str, operator_file: str | None, membership_file: str | None = None) -> int:
     """Run a controller by its settings files; returns the process's exit code."""
     level = _LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
     logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s: %(message)s")
     try:
         settings = load(config)
         operator = load_operator(operator_file)
+        membership = load_membership(membership_file)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
@@ -84,7 +87,7 @@
     gc.collect()
     gc.freeze()
     try:
-        trio.run(run, settings, operator)
+        trio.run(run, settings, operator, membership)
     except ListenError as error:
         print(f"{config}: {error}", file=sys.stderr)
         return 2
--- a/sorrelsill/settings.py
+++ b/sorrelsill/settings.py
@@ -5,16 +5,23 @@
 
 import math
 import tomllib
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
 from sorrelsill import constants
 
+_K = TypeVar("_K", bound=msgspec.Struct)
+
 
 class SettingsError(Exception):
     """One clear line: which file, which field, why."""
 
+    @classmethod
+    def of(cls, path: str, field: str, reason: str) -> SettingsError:
+        """The line for a field."""
+        return cls(f"{path}: {field}: {reason}")
+
 
 class Member(msgspec.Struct, frozen=True):
     """Another controller."""
@@ -272,10 +279,8 @@
     return check(_convert(raw, Settings, path), path)
 
 
-def load_operator(path: str | None) -> Operator:
-    """Read the operators' HCL file; the parser is imported only then, since start-up time is charged."""
-    if not path:
-        return Operator()
+def load_hcl(path: str, kind: type[_K]) -> _K:
+    """Read one of the operators' HCL files; the parser is imported only then, since start-up time is charged."""
     import hcl2  # noqa: PLC0415
 
     try:
@@ -286,7 +291,15 @@
     except Exception as error:  # the parser's own errors share no base class
         first = str(error).strip().splitlines()
         raise SettingsError(f"{path}: syntax: {first[0] if first else type(error).__name__}") from None
-    operator: Operator = _convert({k: v for k, v in raw.items() if not k.startswith("__")}, Operator, path)
+    found: _K = _convert({k: v for k, v in raw.items() if not k.startswith("__")}, kind, path)
+    return found
+
+
+def load_operator(path: str | None) -> Operator:
+    """Read the operators' own settings; without a file, nothing is overridden."""
+    if not path:
+        return Operator()
+    operator = load_hcl(path, Operator)
     for field in ("lease_s", "stall_limit_s", "self_release_s", "sample", "tick_s"):
         _positive(path, field, getattr(operator, field), zero=True)
     return operator
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -67,8 +67,10 @@
         store: Store,
         keep_ended_s: float,
         on_final: Callable[[str, Any], None] = lambda job_id, value: None,
+        more_prefixes: tuple[str, ...] = (),
     ) -> None:
-        """`on_final` is told of each final state as it is learnt of."""
+        """`on_final` is told of each final state as it is learnt of; `more_prefixes` are keys to be read as well."""
+        self._prefixes = (JOB_PREFIX, _CHUNK, _PART, _ROSTER, LEADER, CATALOG, *more_prefixes)
         self._store = store
         self._keep_ended_s = keep_ended_s  # how long jobs that are over are remembered
         self.keys: dict[str, tuple[Any, int]] = {}
@@ -210,7 +212,7 @@
         fresh: dict[str, tuple[Any, int]] = {}
         sent_at = trio.current_time()
         since: int | None = None
-        for prefix in (JOB_PREFIX, _CHUNK, _PART, _ROSTER, LEADER, CATALOG):
+        for prefix in self._prefixes:
             found, rev = await self._store.scan(prefix)
             since = rev if since is None else min(since, rev)
             fresh.update(found)
--- a/tests/simulation/simulated_cluster.py
+++ b/tests/simulation/simulated_cluster.py
@@ -11,6 +11,7 @@
 
 from sorrelsill.controller import Controller
 from sorrelsill.http import Reply, Request
+from sorrelsill.membership import MembershipSettings
 from sorrelsill.settings import (
     CloudLimits,
     Facts,
@@ -44,7 +45,9 @@
         coming: NextLimits | None = None,
         old: bool = False,
         gated: GatedTasks | None = None,
+        membership: MembershipSettings | None = None,
     ) -> None:
+        self._membership = membership  # turns failure detection on
         super().__init__(nursery, seed, teams, txn_ops)
         self.coming = coming
         self._gated = gated or GatedTasks()
@@ -83,7 +86,8 @@
         if old:
             node: Controller = production.make_node(settings, rng, self.net, label, trio.current_time)
         else:
-            node = Controller(settings, Operator(), rng, self.net.client(label), trio.current_time)
+            client = self.net.client(label)
+            node = Controller(settings, Operator(), rng, client, trio.current_time, self._membership)
 
         gate = self._gates[label] = Gate()
         self._processors[label] = trio.Lock()
@@ -270,6 +274,7 @@
     txn_ops: int = 16,
     coming: NextLimits | None = None,
     old: bool = False,
+    membership: MembershipSettings | None = None,
 ) -> SimulatedCluster:
     """Run a story on a virtual clock, and check at its end that no rule was broken on the way."""
     simulations: list[SimulatedCluster] = []
@@ -278,7 +283,7 @@
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             simulation = SimulatedCluster(
-                nursery, seed, teams or [Team("red"), Team("blue")], txn_ops, coming, old, gated
+                nursery, seed, teams or [Team("red"), Team("blue")], txn_ops, coming, old, gated, membership
             )
             simulations.append(simulation)
             await scenario(simulation)
