--- /dev/null
+++ b/sorrelsill/membership/test_detector.py
@@ -0,0 +1,123 @@
+"""Judgement on silence and evidence alone, without a network; and the operators' file."""
+
+from pathlib import Path
+
+import pytest
+
+from sorrelsill.membership.arrivals import Arrivals, AwakeClock
+from sorrelsill.membership.detector import Detector, Presence
+from sorrelsill.membership.messages import Heartbeat, Incarnation
+from sorrelsill.membership.settings import MembershipSettings, load_membership
+from sorrelsill.membership.view import Status
+from sorrelsill.settings import SettingsError
+
+SETTINGS = MembershipSettings()
+ENDED = Presence(held=False, fresh=True)
+HELD = Presence(held=True, fresh=True)
+
+
+def heartbeat(sequence: int, process: int = 7, refutations: int = 0) -> Heartbeat:
+    return Heartbeat("n0,n1", "n1", Incarnation(process, refutations), sequence)
+
+
+def silent_detector() -> Detector:
+    """n1 sent ten regular heartbeats, and was suspected at 10 s."""
+    detector = Detector(["n1"], SETTINGS)
+    for number in range(10):
+        detector.heard(heartbeat(number), number * 0.5, number * 0.5)
+    changed = detector.judge({"n1": HELD}, 10.0, 10.0)
+    assert [peer.status for peer in changed] == [Status.SUSPECTED]
+    return detector
+
+
+def test_the_threshold_follows_the_spread_of_past_gaps() -> None:
+    regular, irregular = (Arrivals(0.5, 6.0, 1.5) for _ in range(2))
+    for number in range(40):
+        regular.arrived(number * 0.5)
+        irregular.arrived(number * 0.5 + (0.45 if number % 2 else 0.0))
+    assert regular.threshold_s() == 1.5
+    assert irregular.threshold_s() > 2.5
+
+
+def test_time_asleep_is_no_silence_also_before_the_loop_has_run_again() -> None:
+    clock = AwakeClock(0.0, 0.5)
+    for tick in range(1, 11):
+        clock.tick(tick * 0.5)
+    assert clock.awake(5.2) == pytest.approx(5.2)
+    assert clock.awake(25.0) == pytest.approx(5.5), "its own loop is overdue"
+    clock.tick(25.0)
+    assert clock.awake(25.0) == pytest.approx(5.5)
+    clock.tick(25.5)
+    assert clock.awake(25.5) == pytest.approx(6.0)
+
+
+def test_nobody_is_confirmed_before_a_whole_round_of_probes_has_failed() -> None:
+    detector = silent_detector()
+    detector.round_failed("n1", 9.0)  # begun before it was suspected
+    assert not detector.judge({"n1": ENDED}, 60.0, 60.0)
+    detector.round_failed("n1", 61.0)
+    assert [peer.status for peer in detector.judge({"n1": ENDED}, 62.0, 62.0)] == [Status.CONFIRMED]
+
+
+@pytest.mark.parametrize("presence", [HELD, Presence(held=False, fresh=False), Presence(held=True, fresh=False)])
+def test_nobody_is_confirmed_while_its_lease_may_be_held(presence: Presence) -> None:
+    detector = silent_detector()
+    detector.round_failed("n1", 11.0)
+    assert not detector.judge({"n1": presence}, 60.0, 60.0)
+
+
+def test_nobody_is_confirmed_before_it_was_suspected_for_long_enough() -> None:
+    detector = silent_detector()
+    detector.round_failed("n1", 10.5)
+    assert not detector.judge({"n1": ENDED}, 10.0 + SETTINGS.confirm_s - 0.1, 13.0)
+    assert detector.judge({"n1": ENDED}, 10.0 + SETTINGS.confirm_s, 14.0)
+
+
+def test_a_later_process_or_refutation_clears_and_an_earlier_one_does_not() -> None:
+    detector = silent_detector()
+    version = detector.view.version
+    assert not detector.heard(heartbeat(4), 11.0, 11.0) and not detector.heard(heartbeat(99, process=6), 11.0, 11.0)
+    assert detector.view.version == version, "a copy changes nothing"
+    assert detector.heard(heartbeat(10, refutations=1), 11.0, 11.0)
+    assert detector.view.peers["n1"].status is Status.ALIVE
+    assert not detector.heard(heartbeat(11, refutations=0), 11.5, 11.5)
+    assert detector.heard(heartbeat(0, process=9), 12.0, 12.0), "a new process counts from the beginning"
+
+
+def test_a_snapshot_stays_as_it_was() -> None:
+    detector = silent_detector()
+    before = detector.view
+    detector.heard(heartbeat(10), 11.0, 11.0)
+    assert before.peers["n1"].status is Status.SUSPECTED and detector.view.version > before.version
+
+
+@pytest.mark.parametrize(
+    ("text", "field"),
+    [
+        ("heartbeat_s = 0", "heartbeat_s"),
+        ("heartbeat_s = -1.0", "heartbeat_s"),
+        ('confirm_s = "soon"', "confirm_s"),
+        ("confirm_s = 1.0", "confirm_s"),
+        ("suspect_min_s = 0.6", "suspect_min_s"),
+        ("probe_timeout_s = 2.0", "probe_timeout_s"),
+        ("presence_lease_s = 1.0", "presence_lease_s"),
+        ("presence_lease_s = 9000.0", "presence_lease_s"),
+        ("heartbeats = 3", "heartbeats"),
+        ("heartbeat_s = = 3", "syntax"),
+    ],
+)
+def test_a_bad_file_ends_the_start_with_one_line_that_names_file_field_and_reason(
+    tmp_path: Path, text: str, field: str
+) -> None:
+    path = tmp_path / "membership.hcl"
+    path.write_text(text + "\n")
+    with pytest.raises(SettingsError) as raised:
+        load_membership(str(path))
+    line = str(raised.value)
+    assert "\n" not in line and line.startswith(f"{path}: ") and field in line
+
+
+def test_the_file_in_deploy_says_what_holds_without_one() -> None:
+    shipped = Path(__file__).resolve().parents[2] / "deploy" / "membership.hcl"
+    assert load_membership(str(shipped)) == MembershipSettings()
+    assert load_membership(None) is None
--- a/tests/scenarios/test_membership.py
+++ b/tests/scenarios/test_membership.py
@@ -168,6 +168,28 @@
     run_scenario(scenario, membership=SETTINGS)
 
 
+def test_a_controller_that_begins_in_an_outage_confirms_nobody() -> None:
+    """It has never read the keys, so that it knows of none proves nothing."""
+
+    async def scenario(simulation: SimulatedCluster) -> None:
+        await until_all_alive(simulation)
+        simulation.store.begin_outage()
+        simulation.kill("n0")
+        simulation.start("n0")
+        await simulation.until(lambda: status_of(simulation, "n0", "n2") is Status.ALIVE, 10)
+        for label in LABELS:
+            if label != "n2":
+                simulation.net.cut("n2", f"{label}:peer")
+                simulation.net.cut(label, "n2:peer")
+                simulation.net.cut("n2:peer", label)
+                simulation.net.cut(f"{label}:peer", "n2")
+        await simulation.until(lambda: status_of(simulation, "n0", "n2") is Status.SUSPECTED, 10)
+        await trio.sleep(2 * LONGEST_DETECTION_S)
+        assert never_confirmed(simulation)
+
+    run_scenario(scenario, membership=SETTINGS)
+
+
 def test_late_copies_of_heartbeats_bring_nobody_back() -> None:
     async def scenario(simulation: SimulatedCluster) -> None:
         kept: list[tuple[str, str, Request]] = []
