--- a/tests/load/detection_times.py
+++ b/tests/load/detection_times.py
@@ -2,7 +2,7 @@
 
     python -m tests.load.detection_times --kills 40 --pauses 40
 
-Three controllers of the simulated cluster on its virtual clock, with the settings of deploy/membership.hcl; not for CI."""
+Three controllers of the simulated cluster on its virtual clock, settings of deploy/membership.hcl. Not part of CI."""
 
 from __future__ import annotations
 
