--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -43,6 +43,7 @@
         self.machines: dict[str, dict[str, Any]] = {}
         self.done: dict[str, list[str]] = {}  # request name -> its answer
         self.on_return: Callable[[str], None] = lambda name: None
+        self.name_of: Callable[[int], str] = machine_name
         self.outage = False
         self.page = PAGE  # machines in one answer
         self.never_boots: set[int] = set()  # machine numbers that stay booting
@@ -53,7 +54,7 @@
         self._count = 0
 
     def add(self, machine_type: str, zone: str, spot: bool) -> str:
-        name = machine_name(self._count)
+        name = self.name_of(self._count)
         self._count += 1
         self.machines[name] = {
             "uid": name,
