Commands to workers keep their pace of 96 at a time; probes alone follow the sockets

Suspected: 571 commands in flight at a quota of 11,420 sockets, in place of 96, take the leader's processor in bursts at a cold start.

--- a/sorrelsill/timers.py
+++ b/sorrelsill/timers.py
@@ -28,6 +28,9 @@
         self._set += 1
         heapq.heappush(self._heap, (at, self._set, key))
 
+    def __contains__(self, key: object) -> bool:
+        return key in self._at
+
     def pop_due(self, now: float) -> _K | None:
         """A key whose time is over, earliest first, with its timer taken off; None if there is none."""
         while self._heap and self._heap[0][0] < now:
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -85,13 +85,13 @@
     ) -> list[dict[str, Any]] | None:
         """Take a report in; the commands for the answer, or None if it must not be answered with 200."""
         commands = reports.on_report(self, report, now, acting, fresh)
-        loss.watch_for_silence(self, report.machine)
+        self._watch_if_new(report.machine)
         return commands
 
     def on_answer(self, report: messages.Report, now: float) -> None:
         """Take in a worker's state out of its answer to a direct call."""
         reports.on_answer(self, report, now)
-        loss.watch_for_silence(self, report.machine)
+        self._watch_if_new(report.machine)
 
     def expire_leases(self, now: float) -> list[Machine]:
         """Declare lost what has been silent for longer than the workers' lease."""
@@ -315,9 +315,19 @@
             self._size(machine)
         return machine
 
+    def _watch_if_new(self, name: str) -> None:
+        """A message moves the next look for silence away, unless it makes the machine usable (see below), so only one
+        without a timer needs one."""
+        machine = self.machines.get(name)
+        if machine is not None and machine not in self.silence:
+            loss.watch_for_silence(self, machine)
+
     def _usable_changed(self, machine: Machine) -> None:
         if self.machines.get(machine.name) is machine:
             self.index.usable_changed(machine)
+            if machine.usable:
+                # It was overdue or new: its next look is nearer than that for a lease that runs out.
+                loss.watch_for_silence(self, machine)
 
     def gone_for_certain(self, name: str, now: float, reason: str) -> None:
         """The machine was returned (answered 200), or is listed as failed. Machine names are never used again, so
--- a/sorrelsill/workers/loss.py
+++ b/sorrelsill/workers/loss.py
@@ -12,11 +12,9 @@
     from sorrelsill.workers.machine import Machine
 
 
-def watch_for_silence(cluster: ClusterState, name: str) -> None:
+def watch_for_silence(cluster: ClusterState, machine: Machine) -> None:
     """Set the machine's timer, after anything that may have brought the next look at it nearer."""
-    machine = cluster.machines.get(name)
-    if machine is not None:
-        cluster.silence.set_if_earlier(machine, _next_look(cluster, machine))
+    cluster.silence.set_if_earlier(machine, _next_look(cluster, machine))
 
 
 def _next_look(cluster: ClusterState, machine: Machine) -> float:
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -23,23 +23,22 @@
         self.default = default
 
     def __set_name__(self, owner: type, name: str) -> None:
-        self._slot = f"_{name}"
+        self._name = name
 
-    @overload
-    def __get__(self, machine: None, owner: type) -> _Condition[_T]: ...
+    if TYPE_CHECKING:
+        # There is none: a descriptor that only sets leaves reading to the instance, which costs no call. Reports read
+        # these fields thousands of times a second.
+        @overload
+        def __get__(self, machine: None, owner: type) -> _Condition[_T]: ...
 
-    @overload
-    def __get__(self, machine: Machine, owner: type) -> _T: ...
+        @overload
+        def __get__(self, machine: Machine, owner: type) -> _T: ...
 
-    def __get__(self, machine: Machine | None, owner: type) -> _T | _Condition[_T]:
-        if machine is None:
-            return self
-        value: _T = getattr(machine, self._slot)
-        return value
+        def __get__(self, machine: Machine | None, owner: type) -> _T | _Condition[_T]: ...
 
     def __set__(self, machine: Machine, value: _T) -> None:
-        if getattr(machine, self._slot) != value:
-            setattr(machine, self._slot, value)
+        if machine.__dict__[self._name] != value:
+            machine.__dict__[self._name] = value
             machine.update_usable()
 
 
@@ -50,58 +49,6 @@
 class Machine:
     """A machine and what is bound to it."""
 
-    __slots__ = (
-        "_draining",
-        "_evict_at",
-        "_faulty",
-        "_lost",
-        "_on_usable_changed",
-        "_overdue",
-        "_reachable",
-        "_returning",
-        "_rostered",
-        "_synced",
-        "accused_by",
-        "addr",
-        "answered_at",
-        "attempts",
-        "cache_gb",
-        "cap_cpus",
-        "cap_gpus",
-        "cap_memory",
-        "cpus",
-        "fetching",
-        "first_at",
-        "gpus",
-        "idle_since",
-        "images",
-        "live",
-        "machine_type",
-        "memory",
-        "name",
-        "proved_at",
-        "relearn",
-        "report_sequence_number",
-        "reports",
-        "seen_at",
-        "sequence_number",
-        "session",
-        "spot",
-        "unknown",
-        "usable",
-        "zone",
-    )
-
-    _synced: bool
-    _reachable: bool
-    _rostered: bool
-    _lost: bool
-    _overdue: bool
-    _draining: bool
-    _returning: bool
-    _faulty: bool
-    _evict_at: float | None
-
     synced = _Condition(False)  # has reported our term as its highest token: no older leader can order it about
     reachable = _Condition(False)  # has shown in this session that answers or commands reach it
     rostered = _Condition(False)  # its roster key is committed
@@ -118,8 +65,7 @@
         self.name = name
         self._on_usable_changed = on_usable_changed
         self.usable = False  # whether it may be given work
-        for condition in _CONDITIONS:
-            setattr(self, f"_{condition}", getattr(Machine, condition).default)
+        self.__dict__.update(_DEFAULTS)
         self.machine_type = ""
         self.zone = ""
         self.spot = False
@@ -146,15 +92,15 @@
     def update_usable(self) -> None:
         """Work out anew whether the machine may be given work, and tell the indices of a change."""
         usable = (
-            self._synced
-            and self._reachable
-            and self._rostered
-            and not self._lost
-            and not self._overdue
-            and not self._draining
-            and not self._returning
-            and not self._faulty
-            and self._evict_at is None
+            self.synced
+            and self.reachable
+            and self.rostered
+            and not self.lost
+            and not self.overdue
+            and not self.draining
+            and not self.returning
+            and not self.faulty
+            and self.evict_at is None
         )
         if usable != self.usable:
             self.usable = usable
@@ -195,4 +141,4 @@
         return out
 
 
-_CONDITIONS = tuple(name for name, value in vars(Machine).items() if isinstance(value, _Condition))
+_DEFAULTS = {name: value.default for name, value in vars(Machine).items() if isinstance(value, _Condition)}
--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -34,21 +34,21 @@
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
-    """How many calls to workers there may be. Every machine needs a socket of the leader's for its reports, so the
-    quota of sockets grows with the fleet, and these limits with it."""
+    """How many calls to workers there may be at a time. Every machine needs a socket of the leader's for its reports, so
+    the quota of sockets grows with the fleet, and with it the probes after a takeover. Commands keep their pace: more of
+    them at a time would only be answered at a time as well."""
 
     connections: int  # machines to which a connection is kept
-    in_flight: int
-    probes: int  # of those in flight
+    commands: int
+    probes: int
 
     @classmethod
     def derive(cls, sockets: int) -> CallLimits:
         """Out of a controller's quota of sockets."""
-        in_flight = max(constants.PUSH_AT_ONCE, int(sockets * constants.PUSH_AT_ONCE_OF_SOCKETS))
         return cls(
             connections=max(8, int(sockets * constants.PUSH_SOCKETS)),
-            in_flight=in_flight,
-            probes=int(in_flight * constants.PROBES_OF_PUSHES),
+            commands=constants.PUSH_AT_ONCE,
+            probes=max(constants.PROBES_AT_ONCE, int(sockets * constants.PROBES_OF_SOCKETS)),
         )
 
 
@@ -95,7 +95,7 @@
             return
         fresh = self._fresh()
         for machine in list(cluster.machines_with_pending_commands.values()):
-            if len(self._busy) >= self._limits.in_flight:
+            if len(self._busy) - self._probing >= self._limits.commands:
                 return
             if machine.name in self._busy or self._pausing(machine.name, now, machine.seen_at):
                 continue
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -53,7 +53,8 @@
     machine.report_sequence_number = report.sequence_number
     machine.reports = True
     machine.seen_at = now
-    machine.overdue = False
+    if machine.overdue:
+        machine.overdue = False
     if stale:
         # Overtaken by an answer to a direct call, which told more. It is no copy, so its lease may go on.
         if not machine.synced:
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -136,7 +136,7 @@
         async with trio.open_nursery() as nursery:
             for _ in range(600):
                 pusher.probe_unconfirmed(leader.cluster, nursery)
-                assert len(pusher._busy) <= limits.probes == 24 < limits.in_flight
+                assert len(pusher._busy) <= limits.probes == 24 < limits.commands
                 await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
 
