--- a/sorrelsill/workers/push.py
+++ b/sorrelsill/workers/push.py
@@ -34,9 +34,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
-    """How many calls to workers there may be at a time. Every machine needs a socket of the leader's for its reports, so
-    the quota of sockets grows with the fleet, and with it the probes after a takeover. Commands keep their pace: more of
-    them at a time would only be answered at a time as well."""
+    """How many calls to workers there may be at a time. Every machine needs a socket of the leader's for its reports,
+    so the quota of sockets grows with the fleet, and with it the probes after a takeover. Commands keep their pace:
+    more of them at a time would only be answered at a time as well."""
 
     connections: int  # machines to which a connection is kept
     commands: int
