--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -20,7 +20,7 @@
 from sorrelsill.http import Client, Reply, Request
 from sorrelsill.jobs import Admission, Cancellations, RecordWriter, json_size
 from sorrelsill.leadership import Elector, Watchdog
-from sorrelsill.membership import PRESENCE_PREFIX, Membership, MembershipSettings, PresenceKeeper
+from sorrelsill.membership import PRESENCE_PREFIX, MembershipSettings, make_membership
 from sorrelsill.peers import DegradedMode
 from sorrelsill.placement import Placer
 from sorrelsill.settings import Operator, Settings, Timings
@@ -110,12 +110,11 @@
             self._news,
         )
         self.view.listeners.append(self._on_key)
-        self.membership = self._make_membership(membership, make_client) if membership is not None else None
-
-    def _make_membership(self, membership: MembershipSettings, make_client: Callable[[str], Client]) -> Membership:
-        settings = self.settings
-        presence = PresenceKeeper(self.store, self.view, settings.label, membership.presence_lease_s)
-        return Membership(settings.label, settings.members, membership, make_client, presence, self._count)
+        self.membership = (
+            make_membership(settings, membership, self.store, self.view, make_client, self._count)
+            if membership is not None
+            else None
+        )
 
     @property
     def cluster(self) -> ClusterState | None:
--- a/sorrelsill/membership/__init__.py
+++ b/sorrelsill/membership/__init__.py
@@ -1,19 +1,37 @@
-"""Failure detection between controllers: who is alive, suspected, confirmed to be gone. It entitles nobody to act."""
+"""Failure detection between controllers: who is alive, suspected, confirmed to be gone. It entitles nobody to act.
+
+Importing the package is cheap: what it needs is loaded only where the feature is on, since start-up time is charged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from sorrelsill.membership.handover import Handover
-from sorrelsill.membership.presence import PRESENCE_PREFIX, PresenceKeeper
-from sorrelsill.membership.service import Membership
 from sorrelsill.membership.settings import MembershipSettings, load_membership
-from sorrelsill.membership.view import MembershipView, Peer, Status
-
-__all__ = [
-    "PRESENCE_PREFIX",
-    "Handover",
-    "Membership",
-    "MembershipSettings",
-    "MembershipView",
-    "Peer",
-    "PresenceKeeper",
-    "Status",
-    "load_membership",
-]
+
+if TYPE_CHECKING:
+    from sorrelsill.http import Client
+    from sorrelsill.membership.service import Membership
+    from sorrelsill.settings import Settings
+    from sorrelsill.store import Store, View
+
+PRESENCE_PREFIX = "s/n/"  # keys by which controllers show in the state service that they run
+
+
+def make_membership(
+    settings: Settings,
+    membership: MembershipSettings,
+    store: Store,
+    view: View,
+    make_client: Callable[[str], Client],
+    count: Callable[[str], None],
+) -> Membership:
+    """The feature, for a controller; `count` is told of its events."""
+    from sorrelsill.membership.presence import PresenceKeeper  # noqa: PLC0415 - see above
+    from sorrelsill.membership.service import Membership  # noqa: PLC0415
+
+    presence = PresenceKeeper(store, view, settings.label, membership.presence_lease_s)
+    return Membership(settings.label, settings.members, membership, make_client, presence, count)
+
+
+__all__ = ["PRESENCE_PREFIX", "MembershipSettings", "load_membership", "make_membership"]
--- a/sorrelsill/membership/presence.py
+++ b/sorrelsill/membership/presence.py
@@ -9,13 +9,12 @@
 import trio
 
 from sorrelsill import constants
+from sorrelsill.membership import PRESENCE_PREFIX
 from sorrelsill.membership.detector import Presence
 from sorrelsill.store import AmbiguousError, Put, Store, UnavailableError, View
 
 log = logging.getLogger(__name__)
 
-PRESENCE_PREFIX = "s/n/"
-
 
 def presence_key(label: str) -> str:
     """The key of a controller."""
--- a/tests/load/detection_times.py
+++ b/tests/load/detection_times.py
@@ -12,7 +12,8 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from sorrelsill.membership import MembershipSettings, Status
+from sorrelsill.membership import MembershipSettings
+from sorrelsill.membership.view import Status
 from tests.simulation import SimulatedCluster, run_scenario, service
 from tests.simulation.users import LABELS
 
--- a/tests/scenarios/test_handover.py
+++ b/tests/scenarios/test_handover.py
@@ -3,7 +3,9 @@
 import pytest
 import trio
 
-from sorrelsill.membership import Handover, MembershipSettings, Status
+from sorrelsill.membership import MembershipSettings
+from sorrelsill.membership.handover import Handover
+from sorrelsill.membership.view import Status
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 from tests.simulation.users import LABELS
 
--- a/tests/scenarios/test_membership.py
+++ b/tests/scenarios/test_membership.py
@@ -10,8 +10,9 @@
 import trio
 
 from sorrelsill.http import Request
-from sorrelsill.membership import MembershipSettings, Status
+from sorrelsill.membership import MembershipSettings
 from sorrelsill.membership.messages import Heartbeat, Incarnation, encode
+from sorrelsill.membership.view import Status
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 from tests.simulation.users import LABELS
 
