--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -177,7 +177,8 @@
 def counted_on(pending: list[Pending], boots: BootTimes, catalog: Catalog, now: float) -> list[Pending]:
     """The machines on their way that the plan may count on. Late ones are replaced, the latest first, but only a part
     of them: when all are late, further rentals would be late as well and cost as much."""
-    late = [p for p in pending if now - p.since > boots.late_after_s(p.machine_type, catalog)]
+    late_after_s = {name: boots.late_after_s(name, catalog) for name in {p.machine_type for p in pending}}
+    late = [p for p in pending if now - p.since > late_after_s[p.machine_type]]
     late.sort(key=lambda p: p.since)
     replaced = min(len(late), max(constants.LATE_REPLACED_MIN, math.ceil(constants.LATE_REPLACED_SHARE * len(late))))
     left_out = {p.name for p in late[:replaced]}
--- a/sorrelsill/workers/commands.py
+++ b/sorrelsill/workers/commands.py
@@ -62,20 +62,21 @@
 def take_direct_commands(
     cluster: ClusterState, machine: Machine, fresh: bool
 ) -> tuple[list[dict[str, Any]], list[Attempt]]:
-    """Orders not sent yet, for one direct call; its starts are loose until it is answered."""
-    commands, started = [], []
+    """Commands not sent yet, for one direct call, and the attempts that it starts: until it is answered these may start
+    at any time."""
+    taken, started = [], []
     for attempt in machine.attempts.values():
         if not _direct(cluster, attempt, fresh):
             continue
         if attempt.stop:
             attempt.stop_sent = True
-            commands.append(messages.stop_command(attempt.task_id, attempt.attempt_number, attempt.wind_down))
+            taken.append(messages.stop_command(attempt.task_id, attempt.attempt_number, attempt.wind_down))
         else:
             attempt.start_sent = True
             attempt.unanswered_starts += 1
             started.append(attempt)
-            commands.append(messages.start_command(attempt.task_id, attempt.attempt_number))
-    return commands, started
+            taken.append(messages.start_command(attempt.task_id, attempt.attempt_number))
+    return taken, started
 
 
 def direct_commands_answered(attempts: list[Attempt]) -> None:
