Real processes: tasks longer than a change of leader, and machines that hang beside it

Cause: on a copy whose new leader does not wait for machines it has not heard ('settled' always true) the play stayed green, as all tasks were over before a takeover was and all machines reported at once.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -101,6 +101,19 @@
                 nursery.start_soon(worker.run)
                 nursery.start_soon(worker.live)
 
+    def hang_one(self, for_s: float) -> None:
+        """The machine with most tasks does nothing for so long, and then goes on."""
+        if not self.workers:
+            return
+        worker = max(self.workers.values(), key=lambda each: (len(each.on), each.name))
+        worker.hung = True
+
+        async def wake() -> None:
+            await trio.sleep(for_s)
+            worker.hung = False
+
+        self._nursery.start_soon(wake)
+
     def _return(self, name: str) -> None:
         worker = self.workers.pop(name, None)
         if worker is not None:
--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -13,12 +13,14 @@
 from tests.simulation.users import LABELS
 
 JOB_EVERY_S = 0.7  # s; between two submissions
-JOB_RUN_S = 1.5  # s; of a task
+JOB_RUNS_S = (1.5, 6.0, 12.0)  # s; of a task: shorter and longer than a change of leader takes
 BEGIN_S = 30.0  # s; within which a first leader has to be there
 CALM_S = 150.0  # s; within which all jobs have to end once the troubles are over
 STOP_S = 20.0  # s; within which a process that was told to stop ends by itself
 PAUSES_S = (0.5, 2.0, 5.0)  # shorter than, near to and longer than what the leader's lease allows
 KILL_GAPS_S = (0.1, 1.0, 3.0)  # between an end and the next start
+HANGING_MACHINE = 0.7  # ratio; of the troubles, beside which a busy machine hangs: the next leader hears it last
+HANG_S = 5.0  # s; less than a worker's lease, so its tasks go on after it
 SECOND_TROUBLE = 0.3  # ratio; of the pauses, during which another controller is killed
 
 
@@ -41,6 +43,8 @@
             label = self._rng.choice(LABELS)
             kind = self._rng.choice(["pause", "pause", "kill", "kill", "stop"])
             self._note(kind, label)
+            if self._rng.random() < HANGING_MACHINE:
+                self._deployment.hang_one(HANG_S)
             await kinds[kind](label)
             await trio.sleep(self._rng.uniform(1.0, 3.0))
 
@@ -86,7 +90,8 @@
                     number = 0
                     while trio.current_time() < until:
                         number += 1
-                        users.start_soon(deployment.run_job, f"run-{number:06d}", rng.randrange(1, 4), JOB_RUN_S)
+                        tasks, run_s = rng.randrange(1, 4), rng.choice(JOB_RUNS_S)
+                        users.start_soon(deployment.run_job, f"run-{number:06d}", tasks, run_s)
                         await trio.sleep(JOB_EVERY_S)
         stand_ins.cancel_scope.cancel()
     return deployment.events
