--- a/sorrelsill/fleet/spare_room.py
+++ b/sorrelsill/fleet/spare_room.py
@@ -8,7 +8,7 @@
     from sorrelsill.jobs import JobSpec
     from sorrelsill.workers import Machine, MachineIndex
 
-_SMALLEST_CPUS = 0.1  # tasks that ask for less count as this much
+_SMALLEST_AMOUNT = 0.1  # CPUs or GB; tasks that ask for less count as this much
 _TOLERANCE = 1e-6  # tasks
 
 
@@ -20,8 +20,8 @@
         if kept is not None and (kept.rank <= spec.rank or kept.whole):
             cpus -= kept.cpus
             memory -= kept.memory
-    by_cpus = cpus / max(spec.cpus, _SMALLEST_CPUS)
-    by_memory = memory / max(spec.memory, _SMALLEST_CPUS)
+    by_cpus = cpus / max(spec.cpus, _SMALLEST_AMOUNT)
+    by_memory = memory / max(spec.memory, _SMALLEST_AMOUNT)
     return max(0, int(min(by_cpus, by_memory) + _TOLERANCE))
 
 
--- a/sorrelsill/membership/detector.py
+++ b/sorrelsill/membership/detector.py
@@ -97,7 +97,7 @@
 
     # --- judgement ---
 
-    def suspects(self, awake: float) -> list[str]:
+    def to_probe(self) -> list[str]:
         """Controllers to probe now: those that are suspected, and those whose silence only others explain."""
         return [
             label
--- a/sorrelsill/membership/service.py
+++ b/sorrelsill/membership/service.py
@@ -237,7 +237,7 @@
             self._judge(now)
             if now - probed_at >= self._settings.probe_every_s:
                 probed_at = now
-                for label in self._detector.suspects(self._clock.awake(now)):
+                for label in self._detector.to_probe():
                     if label not in self._probing:
                         self._probing.add(label)
                         nursery.start_soon(self._probe_round, label)
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -155,10 +155,6 @@
             self._reservations.task_placed(spec.job_id, machine)
         return _End.ALL_BOUND
 
-    def choose(self, cluster: ClusterState, job: Job, now: float) -> Machine | None:
-        """Best fit for one task among a sample of the machines."""
-        return self._chooser.choose(job, CandidatePool(cluster, job.spec), now)
-
     def _wait(self, placing: Round, job: Job, limited: bool) -> None:
         """Tasks of a job found no room: the fleet learns of it, and room is made where that is allowed."""
         if job.failures.suspect(len(job.bound)):
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -20,6 +20,7 @@
 _decode = msgspec.msgpack.decode
 
 CONNECTIONS = 200  # of one stand-in
+MACHINE_NAMES = 200  # addresses held for machines: each machine that is rented gets one of its own
 WATCH_S = 0.01  # s; between two looks at the leader key and at the workers' tokens
 ANSWER_S = 3.0  # s; a user waits this long for an answer
 
@@ -56,11 +57,10 @@
 
     async def open(self) -> tuple[str, str]:
         """Begin to serve; the addresses of state service and cloud. Machines are named by addresses held for them."""
-        for number in range(40):
+        while len(self._listeners) < MACHINE_NAMES:
             listener = await self._listen()
             host, port = listener.socket.getsockname()
             self._listeners[f"{host}:{port}"] = listener
-            del number
         names = list(self._listeners)
         self.cloud.name_of = lambda number: names[number]
         self._nursery.start_soon(self.store.run)
