One place for the zone rule of single tasks, the production rank, tolerances and fitting tasks

JobSpec.may_add_in is the one place for single tasks; the numbers stand in constants.py. Groups seat whole zones at a time and keep their own form of the rule; fleet/rentals.py and placement/groups.py still hold bare 1e-6.

--- a/sorrelsill/fleet/consolidate.py
+++ b/sorrelsill/fleet/consolidate.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sorrelsill import constants
+from sorrelsill.fleet.spare_room import tasks_that_fit
 
 if TYPE_CHECKING:
     from sorrelsill.jobs import JobSpec
@@ -44,8 +45,7 @@
         machine, spec = room.machine, self._spec
         if machine.zone not in self._by_zone or not machine.allows(spec):
             return
-        tasks = int(min(room.cpus / max(spec.cpus, 0.1), room.memory / max(spec.memory, 0.1)) + 1e-6)
-        self._counted[machine.name] = max(0, tasks)
+        self._counted[machine.name] = tasks_that_fit(room.cpus, room.memory, spec)
         self._by_zone[machine.zone] += self._counted[machine.name]
 
     def uncount(self, room: _Room) -> None:
--- a/sorrelsill/fleet/spare_room.py
+++ b/sorrelsill/fleet/spare_room.py
@@ -20,6 +20,11 @@
         if kept is not None and (kept.rank <= spec.rank or kept.whole):
             cpus -= kept.cpus
             memory -= kept.memory
+    return tasks_that_fit(cpus, memory, spec)
+
+
+def tasks_that_fit(cpus: float, memory: float, spec: JobSpec) -> int:
+    """How many tasks so much room holds."""
     by_cpus = cpus / max(spec.cpus, _SMALLEST_AMOUNT)
     by_memory = memory / max(spec.memory, _SMALLEST_AMOUNT)
     return max(0, int(min(by_cpus, by_memory) + _TOLERANCE))
--- a/sorrelsill/jobs/messages.py
+++ b/sorrelsill/jobs/messages.py
@@ -56,6 +56,13 @@
         """Its tasks run at the same time or not at all, and complete together."""
         return self.shape == GANG
 
+    def may_add_in(self, zone: str, placed: dict[str, int]) -> bool:
+        """Whether one more task may be in the zone, given how many are in each: the only place that knows `oneZone` and
+        `scatter` for single tasks."""
+        if self.one_zone and any(count > 0 and other != zone for other, count in placed.items()):
+            return False
+        return not self.scatter or placed.get(zone, 0) < self.zone_limit
+
     @property
     def zone_limit(self) -> int:
         """Most tasks of the job that may be in one zone at a time."""
--- a/sorrelsill/placement/candidates.py
+++ b/sorrelsill/placement/candidates.py
@@ -136,9 +136,7 @@
         spec = job.spec
         if not machine.room_for(spec) or not machine.allows(spec) or not machine.usable:
             return False
-        if spec.one_zone and any(n > 0 and zone != machine.zone for zone, n in job.zones.items()):
-            return False
-        if spec.scatter and job.zones.get(machine.zone, 0) + 1 > spec.zone_limit:
+        if not spec.may_add_in(machine.zone, job.zones):
             return False
         # Without the reservation small tasks take what is freed piece by piece, and more is stopped for nothing.
         return self._reservations.open_to(job, machine, now) and self._group_room.leaves(job, machine, now)
--- a/sorrelsill/placement/engine.py
+++ b/sorrelsill/placement/engine.py
@@ -28,8 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-_PRODUCTION = 0  # rank
-
 
 class _End(enum.Enum):
     """Why no further task of a job was bound in a round."""
@@ -187,8 +185,7 @@
             and not self._reservations.reserved(machine)
             and job.avoid.get(machine.name, 0.0) <= now
             and machine.large_enough_for(spec)
-            and (not spec.scatter or job.zones.get(machine.zone, 0) < spec.zone_limit)
-            and not (spec.one_zone and any(n > 0 and zone != machine.zone for zone, n in job.zones.items()))
+            and spec.may_add_in(machine.zone, job.zones)
         )
 
     def _slow_start(self, cluster: ClusterState, job: Job, machine: Machine) -> bool:
@@ -196,7 +193,12 @@
         spec = job.spec
         within_s = self._aims.start_within_s.get(spec.workload)
         machine_type = cluster.catalog.machine_types.get(machine.machine_type)
-        if within_s is None or machine_type is None or spec.image in machine.images or spec.rank != _PRODUCTION:
+        if (
+            within_s is None
+            or machine_type is None
+            or spec.image in machine.images
+            or spec.rank != constants.PRODUCTION_RANK
+        ):
             return False
         return spec.image_gb / machine_type.pull_rate > within_s
 
--- a/sorrelsill/placement/group_room.py
+++ b/sorrelsill/placement/group_room.py
@@ -5,6 +5,7 @@
 
 from typing import TYPE_CHECKING
 
+from sorrelsill import constants
 from sorrelsill.placement.order import aged_out
 
 if TYPE_CHECKING:
@@ -12,8 +13,6 @@
     from sorrelsill.placement.aims import Aims
     from sorrelsill.workers import ClusterState, Job, Machine
 
-_PRODUCTION = 0  # rank
-
 
 class GroupRoom:
     """CPUs kept free on ordinary machines of one zone."""
@@ -43,7 +42,7 @@
         return (
             not self._kept_cpus
             or machine.spot
-            or spec.rank == _PRODUCTION
+            or spec.rank == constants.PRODUCTION_RANK
             or spec.whole
             or machine.zone != self._zone
             or self._free[machine.zone] - spec.cpus >= self._kept_cpus
--- a/sorrelsill/placement/preemption.py
+++ b/sorrelsill/placement/preemption.py
@@ -23,9 +23,6 @@
 
 log = logging.getLogger(__name__)
 
-_PRODUCTION = 0  # rank
-_TOLERANCE = 1e-6  # CPUs, GPUs or GB
-
 
 @dataclass(frozen=True, slots=True)
 class Victims:
@@ -71,7 +68,7 @@
 
     def _may_preempt(self, job: Job) -> bool:
         """Whether the job may take room from any lower work: others wait, so that low work gets done as well."""
-        return job.spec.rank == _PRODUCTION or job.spec.whole or job.spec.job_id in self._guaranteed
+        return job.spec.rank == constants.PRODUCTION_RANK or job.spec.whole or job.spec.job_id in self._guaranteed
 
     def _presses(self, cluster: ClusterState, job: Job, now: float) -> bool:
         """Whether the next moment that matters to the job's user would pass before a rented machine could help. Until
@@ -141,9 +138,7 @@
             if made >= wanted:
                 break
             machine = offer.attempts[0].machine
-            if spec.scatter and zones.get(machine.zone, 0) + 1 > spec.zone_limit:
-                continue
-            if spec.one_zone and any(n > 0 and zone != machine.zone for zone, n in zones.items()):
+            if not spec.may_add_in(machine.zone, zones):
                 continue
             until = now + self._stop(cluster, spec, offer.attempts, patience_s)
             zones[machine.zone] = zones.get(machine.zone, 0) + 1
@@ -159,7 +154,7 @@
         log.debug("room for %s: %s", spec.job_id, names)
         wait_s = patience_s
         for attempt in attempts:
-            cluster.stop(attempt, _reason(spec), hurry=spec.rank == _PRODUCTION)
+            cluster.stop(attempt, _reason(spec), hurry=spec.rank == constants.PRODUCTION_RANK)
             wait_s = max(wait_s, patience_s + attempt.wind_down)
         return wait_s
 
@@ -169,9 +164,9 @@
         mine = _reason(spec)
         if any(a.stop and a.spec is not None and a.stop_reason == mine for a in machine.attempts.values()):
             return None  # room is being made here for this job already
-        lack_cpus = spec.cpus * count - (machine.cap_cpus - machine.cpus) - _TOLERANCE
-        lack_gpus = spec.gpus * count - (machine.cap_gpus - machine.gpus) - _TOLERANCE
-        lack_memory = spec.memory * count - (machine.cap_memory - machine.memory) - _TOLERANCE
+        lack_cpus = spec.cpus * count - (machine.cap_cpus - machine.cpus) - constants.AMOUNT_TOLERANCE
+        lack_gpus = spec.gpus * count - (machine.cap_gpus - machine.gpus) - constants.AMOUNT_TOLERANCE
+        lack_memory = spec.memory * count - (machine.cap_memory - machine.memory) - constants.AMOUNT_TOLERANCE
         can = [a for a in machine.attempts.values() if not a.stop and self._may_stop(job, a)]
         can.sort(key=lambda a: (-(a.spec.rank if a.spec else 0), a.job_id in cluster.groups, _loss(cluster, a, now)))
         cost, chosen = 0.0, []
--- a/sorrelsill/placement/team_limits.py
+++ b/sorrelsill/placement/team_limits.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+from sorrelsill import constants
 from sorrelsill.jobs import JobSpec
 from sorrelsill.settings import Team
 from sorrelsill.workers import ClusterState
 
-_TOLERANCE = 1e-6  # CPUs or GPUs
-
 
 class TeamLimits:
     """What each team may use at the most, and which teams are guests."""
@@ -29,8 +28,8 @@
         unseen_cpus, unseen_gpus = cluster.unaccounted(spec.team)
         cpus = cluster.team_cpus.get(spec.team, 0.0) + unseen_cpus + spec.cpus * tasks
         gpus = cluster.team_gpus.get(spec.team, 0.0) + unseen_gpus + spec.gpus * tasks
-        return (not team.cpus_max or cpus <= team.cpus_max + _TOLERANCE) and (
-            not team.gpus_max or gpus <= team.gpus_max + _TOLERANCE
+        return (not team.cpus_max or cpus <= team.cpus_max + constants.AMOUNT_TOLERANCE) and (
+            not team.gpus_max or gpus <= team.gpus_max + constants.AMOUNT_TOLERANCE
         )
 
     def is_guest(self, name: str) -> bool:
