Structured log lines and metrics of what teams use

Cause: the records of the incident could not tell what was counted for a team, when a machine was confirmed, or why a task was halted. Change: log_event (one event name, key=value fields, formatted only if the level is on): leading, leading_ended, takeover, team_use, machine_confirmed, machines_confirmed, start_allowed, start_refused, bind, runs, halt (every path to a stop goes through one function), view_loaded, view_followed, answer. Per team bound, unaccounted, limit and highest bound amounts in /state, metrics and 'sorrelsill status'. Amounts are typed (Resources, TeamUse), the operators' state and stopping are modules of their own.

--- a/sorrelsill/cli.py
+++ b/sorrelsill/cli.py
@@ -130,10 +130,17 @@
 @main.command()
 @_controller
 def status(controller: str) -> None:
-    """What a controller believes: who leads, machines, jobs, waiting tasks, the other controllers."""
+    """What a controller believes: who leads, machines, jobs, waiting tasks, teams' use, the other controllers."""
     state = _ask(controller, "GET", "/state")
     peers = state.pop("peers", None) or {}
+    teams = state.pop("teams", None) or {}
     _print(state)
+    for name, use in sorted(teams.items()):
+        limit = use["limit_cpus"] or "no limit"
+        click.echo(
+            f"{name}\t{use['bound_cpus']} CPUs bound, {use['unaccounted_cpus']} unaccounted, {limit} at the most;"
+            f" {use['bound_gpus']} GPUs bound, {use['unaccounted_gpus']} unaccounted, {use['limit_gpus'] or 'no limit'}"
+        )
     for label, peer in sorted(peers.items()):
         since = f" for {peer['for_s']} s" if peer["for_s"] is not None else ""
         click.echo(f"{label}\t{peer['status']}{since}\t{peer['evidence']}")
--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -14,8 +14,10 @@
 from sorrelsill import constants
 from sorrelsill.controller.followed_jobs import FollowedJobs
 from sorrelsill.controller.leading import Leading
+from sorrelsill.controller.operator_state import controller_state, team_state
 from sorrelsill.controller.report_routes import ReportRoutes, is_cancelled
 from sorrelsill.controller.user_routes import UserRoutes
+from sorrelsill.events import log_event
 from sorrelsill.fleet import Catalog, Cloud, FleetManager, parse_catalog
 from sorrelsill.http import Client, Reply, Request
 from sorrelsill.jobs import Admission, Cancellations, RecordWriter, json_size
@@ -97,7 +99,7 @@
         self.cloud = Cloud(make_client(settings.services.cloud), facts.cloud)
         limits = CallLimits.derive(facts.quota.sockets)
         self.pusher = Pusher(make_client, self.elector.valid, self._fresh, limits, self._news)
-        self._user_routes = UserRoutes(self.admission, self._count)
+        self._user_routes = UserRoutes(self.admission, self.view, self._count)
         self._report_routes = ReportRoutes(
             self.view,
             self.elector,
@@ -148,9 +150,26 @@
         self.followed_jobs.load(cluster)
         self.leading = Leading(cluster, self._make_fleet(cluster), self._make_record_writer(cluster))
         self.placer.reset()
+        self._log_takeover(cluster)
         for loop in ("place", "record", "fleet"):
             self.watchdog.beat(loop)
 
+    def _log_takeover(self, cluster: ClusterState) -> None:
+        log_event(
+            log,
+            logging.INFO,
+            "takeover",
+            term=cluster.term,
+            view_revision=self.view.rev,
+            followed_s=trio.current_time() - self.view.whole_since,
+            jobs=len(cluster.jobs),
+            unconfirmed=len(cluster.takeover.unconfirmed),
+        )
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        for name, use in team_state(cluster, self.settings.facts.teams).items():
+            log_event(log, logging.DEBUG, "team_use", term=cluster.term, team=name, **use)
+
     def _make_record_writer(self, cluster: ClusterState) -> RecordWriter:
         return RecordWriter(
             self.store,
@@ -271,26 +290,7 @@
 
     def state(self) -> dict[str, Any]:
         """For operators: what this controller believes."""
-        cluster = self.cluster
-        return {
-            "label": self.settings.label,
-            "leader": self.settings.label if self.elector.valid() else self.elector.leader_label(),
-            "leading": self.elector.valid(),
-            "term": self.elector.term,
-            "standstill": self.degraded_mode.active(),
-            "store_failing_s": round(self.store.failing_for(), 2),
-            "jobs": len(cluster.jobs) if cluster else None,
-            "hosts": len(cluster.machines) if cluster else None,
-            "unheard": len(cluster.takeover.unconfirmed) if cluster else None,
-            "unplaced": sum(u.count for u in self.placer.unplaced.values()) if cluster else None,
-            "groups": len(cluster.groups) if cluster else None,
-            "groups_waiting": sum(1 for j in cluster.groups.values() if not j.running()) if cluster else None,
-            "refused": self.store.refused,
-            "set_aside": self.leading.record_writer.set_aside if self.leading else 0,
-            "counts": self.counts,
-            "peers": self.membership.state() if self.membership is not None else None,
-            "handovers_s": [round(h.lasted_s, 3) for h in self.membership.handovers()] if self.membership else None,
-        }
+        return controller_state(self)
 
     # --- loops ---
 
--- a/sorrelsill/controller/user_routes.py
+++ b/sorrelsill/controller/user_routes.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
 
 import msgspec
+import trio
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.http import Reply, Request
 from sorrelsill.jobs import Admission, BusyError
+from sorrelsill.store import View
+
+log = logging.getLogger(__name__)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder().decode
@@ -24,8 +30,9 @@
 class UserRoutes:
     """Each call is answered, or refused at once with the time to come back."""
 
-    def __init__(self, admission: Admission, count: Callable[[str], None]) -> None:
+    def __init__(self, admission: Admission, view: View, count: Callable[[str], None]) -> None:
         self._admission = admission
+        self._view = view
         self._count = count
 
     async def handle(self, request: Request) -> Reply | None:
@@ -57,8 +64,21 @@
         except BusyError as busy:
             # Never held back: the user is told at once when to come back.
             self._count("busy")
+            log_event(log, logging.DEBUG, "answer", path=request.path, status=503, reason=str(busy))
             return Reply(503, _encode({"error": str(busy)}), [("Retry-After", str(constants.RETRY_AFTER_S))])
         self._count(f"answer_{status}")
+        if log.isEnabledFor(logging.DEBUG):
+            log_event(
+                log,
+                logging.DEBUG,
+                "answer",
+                method=method,
+                path=request.path,
+                status=status,
+                phase=answer.get("phase"),
+                view_revision=self._view.rev,
+                view_age_s=trio.current_time() - self._view.fresh_at,
+            )
         return Reply(status, _encode(answer))
 
     async def _submit(self, request: Request) -> Answer:
--- a/sorrelsill/leadership/elector.py
+++ b/sorrelsill/leadership/elector.py
@@ -19,6 +19,7 @@
 import trio
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.settings import Timings
 from sorrelsill.store import LEADER, AmbiguousError, Condition, Put, Store, UnavailableError, View
 
@@ -134,12 +135,12 @@
             self._predecessor, self._former = self._former, self.leader_label()
         if self.term is not None and (value is None and rev > self.term or value is not None and rev > self.term):
             # The key went or changed hands; act no more, whatever our own clock says.
-            log.info("the leader key of term %d is gone", self.term)
-            self._drop()
+            self._drop("the leader key is gone")
         self._changed.set()
         self._changed = trio.Event()
 
-    def _drop(self) -> None:
+    def _drop(self, reason: str) -> None:
+        log_event(log, logging.INFO, "leading_ended", term=self.term, reason=reason)
         self.term = None
         self._lease = None
         self._good_ping = float("-inf")
@@ -149,8 +150,7 @@
     def superseded(self, token: int) -> None:
         """A worker has seen a higher token: another controller leads, or led, after us."""
         if self.term is not None and token > self.term:
-            log.info("a worker has seen token %d, ours is %d: yielding", token, self.term)
-            self._drop()
+            self._drop(f"a worker has seen token {token}")
 
     @property
     def predecessor(self) -> str | None:
@@ -164,7 +164,7 @@
         lease = self._lease
         if lease is None:
             return
-        self._drop()
+        self._drop("the process stops as planned")
         try:
             await self._store.revoke(lease, self._t.ping_s)
         except (UnavailableError, AmbiguousError) as error:
@@ -185,14 +185,14 @@
         out = self._watchdog.out()
         if out:
             log.error("yielding: loops stalled or exited: %s", ", ".join(out))
-            await self._yield(lease)
+            await self._yield(lease, "loops stalled or exited")
             return
         if self.valid() and self._hears_no_worker():
             # Only while valid: one that stood still itself heard nobody either; its pings tell whether it still leads.
             # Guards against a leader that reaches the store but not the workers: their leases would all run out.
             log.error("yielding: no worker is heard any more")
             self.acquire_after = trio.current_time() + constants.DEAF_HOLD_S
-            await self._yield(lease)
+            await self._yield(lease, "no worker is heard")
             return
         sent_at = trio.current_time()
         pause = self._t.ping_s
@@ -204,21 +204,19 @@
                     self._good_ping = sent_at
                 pause = max(0.0, sent_at + self._t.ping_s - trio.current_time())
             elif self.term == term:
-                log.info("the lease of term %d has ended", term)
-                self._drop()
+                self._drop("the lease has ended")
                 return
         except UnavailableError as error:
             log.debug("ping not taken: %s", error)
             pause = self._t.ping_s / 3
         except AmbiguousError as error:
-            log.info("ping without an answer (%s): yielding", error)
-            await self._yield(lease)
+            await self._yield(lease, f"ping without an answer: {error}")
             return
         await trio.sleep(pause)
 
-    async def _yield(self, lease: int) -> None:
+    async def _yield(self, lease: int, reason: str) -> None:
         """Stop acting first, give the key back second: so no overlap comes from us."""
-        self._drop()
+        self._drop(reason)
         try:
             await self._store.revoke(lease, self._t.ping_s)
         except (UnavailableError, AmbiguousError) as error:
@@ -322,5 +320,14 @@
         self.since = trio.current_time()
         self._store.set_leading(True)
         self._view.apply(LEADER, value, term, True)
-        log.info("leading, term %d, lease %.1f s", term, self._t.lease_s)
+        view_age_s = self.since - self._view.fresh_at
+        log_event(
+            log,
+            logging.INFO,
+            "leading",
+            term=term,
+            lease_s=self._t.lease_s,
+            view_revision=self._view.rev,
+            view_age_s=view_age_s,
+        )
         self._on_term(term)
--- a/sorrelsill/metrics.py
+++ b/sorrelsill/metrics.py
@@ -16,6 +16,7 @@
     "store_failing_s",
     "refused",
     "set_aside",
+    "starts_refused",
 )
 
 _HANDOVER_BUCKETS_S = (0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0)
@@ -31,6 +32,12 @@
     for name in _GAUGES:
         if state[name] is not None:
             Gauge(f"sorrelsill_{name}", f"{name} as this controller believes", registry=registry).set(state[name])
+    if state["teams"] is not None:
+        text = "CPUs and GPUs of each team: bound, unaccounted, its limit (0: none), the most bound in this term"
+        teams = Gauge("sorrelsill_team", text, ["team", "amount"], registry=registry)
+        for team, amounts in state["teams"].items():
+            for amount, value in amounts.items():
+                teams.labels(team=team, amount=amount).set(value)
     if state["peers"] is not None:
         peers = Gauge(
             "sorrelsill_peer", "1 for the status of each other controller", ["peer", "status"], registry=registry
--- a/sorrelsill/placement/team_limits.py
+++ b/sorrelsill/placement/team_limits.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.jobs import JobSpec
 from sorrelsill.settings import Team
-from sorrelsill.workers import ClusterState
+from sorrelsill.workers import ClusterState, resources_of
+
+log = logging.getLogger(__name__)
 
 
 class TeamLimits:
@@ -19,18 +24,38 @@
         return self._teams.get(name)
 
     def allows(self, cluster: ClusterState, spec: JobSpec, tasks: int = 1) -> bool:
-        """Whether so many more tasks of the job keep its team under its limit."""
+        """Whether so many more tasks of the job keep its team under its limit: the one place where that is decided."""
         team = self._teams.get(spec.team)
         if team is None:
             return False
         if not team.cpus_max and not team.gpus_max:
             return True
-        unseen_cpus, unseen_gpus = cluster.unaccounted(spec.team)
-        cpus = cluster.team_cpus.get(spec.team, 0.0) + unseen_cpus + spec.cpus * tasks
-        gpus = cluster.team_gpus.get(spec.team, 0.0) + unseen_gpus + spec.gpus * tasks
-        return (not team.cpus_max or cpus <= team.cpus_max + constants.AMOUNT_TOLERANCE) and (
-            not team.gpus_max or gpus <= team.gpus_max + constants.AMOUNT_TOLERANCE
+        use = cluster.team_use(spec.team)
+        asked = resources_of(spec, tasks)
+        wanted = use.total.plus(asked)
+        allowed = (not team.cpus_max or wanted.cpus <= team.cpus_max + constants.AMOUNT_TOLERANCE) and (
+            not team.gpus_max or wanted.gpus <= team.gpus_max + constants.AMOUNT_TOLERANCE
         )
+        if not allowed:
+            cluster.starts_refused += 1
+        if log.isEnabledFor(logging.DEBUG):
+            log_event(
+                log,
+                logging.DEBUG,
+                "start_allowed" if allowed else "start_refused",
+                job=spec.job_id,
+                team=spec.team,
+                asked_cpus=asked.cpus,
+                bound_cpus=use.bound.cpus,
+                unaccounted_cpus=use.unaccounted.cpus,
+                limit_cpus=team.cpus_max,
+                asked_gpus=asked.gpus,
+                bound_gpus=use.bound.gpus,
+                unaccounted_gpus=use.unaccounted.gpus,
+                limit_gpus=team.gpus_max,
+                unconfirmed=len(cluster.takeover.unconfirmed),
+            )
+        return allowed
 
     def is_guest(self, name: str) -> bool:
         """Guests are teams without a guarantee: they run on what nobody else needs."""
--- a/sorrelsill/placement/test_engine.py
+++ b/sorrelsill/placement/test_engine.py
@@ -86,10 +86,10 @@
         and cluster.unaccounted("red") == (0.0, 0.0)
     )
     cluster.end_job("run-a")
-    assert cluster.team_cpus["red"] == 8.0 and all(a.stop for a in machine.attempts.values())
+    assert cluster.bound_usage.of("red").cpus == 8.0 and all(a.stop for a in machine.attempts.values())
     cluster.gone_for_certain(machine.name, 2.0, "returned")
     assert (
-        cluster.team_cpus["red"] == 0.0
+        cluster.bound_usage.of("red").cpus == 0.0
         and "run-a" not in cluster.attempts.by_job
         and machine.name not in cluster.machines_with_pending_commands
     )
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -22,6 +22,7 @@
 import trio
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.store.client import AmbiguousError, Store, UnavailableError
 
 log = logging.getLogger(__name__)
@@ -226,6 +227,8 @@
         self.whole_since = trio.current_time()  # jobs that came and went between two readings were never seen
         self.followed_since = self.whole_since
         self.loaded = True
+        took_s = self.whole_since - sent_at
+        log_event(log, logging.DEBUG, "view_loaded", revision=self.rev, keys=len(self.keys), took_s=took_s)
 
     def _drop(self, key: str, rev: int) -> None:
         self._note_gone(key, self.keys.pop(key)[0])
@@ -241,6 +244,9 @@
                 self.apply(change["remove"], None, change["keyRev"], False)
         self._gone_past(max(self.rev, rev))
         self.fresh_at = max(self.fresh_at, sent_at)
+        if log.isEnabledFor(logging.DEBUG):
+            took_s = trio.current_time() - sent_at
+            log_event(log, logging.DEBUG, "view_followed", revision=self.rev, changes=len(news), took_s=took_s)
 
     def _gone_past(self, rev: int) -> None:
         """From now on a change at or before `rev` has no effect, so removals up to it need not be remembered."""
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -15,16 +15,18 @@
 from typing import Any
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.jobs import JobSpec, TaskSet
 from sorrelsill.timers import Timers
-from sorrelsill.workers import groups, loss, messages, reports
+from sorrelsill.workers import loss, messages, reports, stopping
 from sorrelsill.workers.attempt import Attempt
 from sorrelsill.workers.attempt_index import AttemptIndex
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.machine_index import MachineIndex
 from sorrelsill.workers.takeover import TakeoverAccounting
+from sorrelsill.workers.team_usage import BoundUsage, Resources, TeamUse
 from sorrelsill.workers.tombstones import Tombstones
 
 log = logging.getLogger(__name__)
@@ -55,8 +57,7 @@
         self.largest_group: dict[str, JobSpec] = {}  # class -> its largest group of this term
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
-        self.team_cpus: dict[str, float] = {}
-        self.team_gpus: dict[str, float] = {}
+        self.bound_usage = BoundUsage()
         self.attempts = AttemptIndex()
         self.index = MachineIndex()
         self.silence: Timers[Machine] = Timers()  # when machines are looked at for silence
@@ -74,6 +75,7 @@
         self.renewed_by_others = float("-inf")  # leases may have been renewed by any node up to then
         self.heard_at: float | None = None  # receipt of the last report of any worker in this term
         self.wake_placing = True
+        self.starts_refused = 0  # for a team's limit, in this term
         self.first_bound_at: float | None = None  # when the first task of this term was bound
         self._attempts_made = 0
         self._jobs_added = 0
@@ -105,8 +107,12 @@
         """Move work off machines that are about to be taken back."""
         loss.drain(self, now)
 
-    def unaccounted(self, team: str) -> tuple[float, float]:
-        """CPUs and GPUs that tasks of a team may be using unseen, which count toward its limit."""
+    def team_use(self, team: str) -> TeamUse:
+        """All that may be running for a team. The one count that its limit is held against."""
+        return TeamUse(self.bound_usage.of(team), self.unaccounted(team))
+
+    def unaccounted(self, team: str) -> Resources:
+        """What tasks of a team may be using that are not bound here."""
         return self.takeover.unaccounted(team, self.jobs, self.catalog, self.attempts.machines_with_unknown.values())
 
     # --- jobs ---
@@ -152,10 +158,8 @@
             if attempt.exited:
                 attempt.clearable = True
             else:
-                attempt.stop = True
                 attempt.wind_down = 0.0
-                attempt.stop_reason = "over"
-                self.machines_with_pending_commands[attempt.machine.name] = attempt.machine
+                self.order_stop(attempt, "over")
         self.wake_placing = True
 
     def job_changed(self, job_id: str) -> None:
@@ -186,13 +190,18 @@
         self.job_changed(job.spec.job_id)
         if job.spec.image not in machine.images:
             machine.fetching.add(job.spec.image)
-        log.debug(
-            "bind %s to %s, %.2f s after submission, image %s",
-            attempt.task_id,
-            machine.name,
-            now - job.submitted,
-            "there" if job.spec.image in machine.images else "missing",
-        )
+        if log.isEnabledFor(logging.DEBUG):
+            log_event(
+                log,
+                logging.DEBUG,
+                "bind",
+                task=attempt.task_id,
+                attempt=attempt.attempt_number,
+                machine=machine.name,
+                waited_s=now - job.submitted,
+                image_there=job.spec.image in machine.images,
+                old=job.old,
+            )
         return attempt
 
     def _attach(self, attempt: Attempt, job: Job) -> None:
@@ -211,8 +220,7 @@
         machine.cpus += spec.cpus
         machine.gpus += spec.gpus
         machine.memory += spec.memory
-        self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
-        self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
+        self.bound_usage.take(spec)
         self.index.room_changed(machine)
 
     def adopt(self, attempt: Attempt, job: Job) -> None:
@@ -231,16 +239,15 @@
             )
             if keep:
                 job.zones[known.machine.zone] = job.zones.get(known.machine.zone, 1) - 1
-                known.stop = True
-                self.machines_with_pending_commands[known.machine.name] = known.machine
-        attempt.stop = not keep
+                self.order_stop(known, "a later attempt was found")
+        attempt.stop = False
         if keep:
             job.bound[attempt.index] = attempt
             job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
             self.job_changed(attempt.job_id)
             self.dirty.add(job.spec.job_id)
         else:
-            self.machines_with_pending_commands[machine.name] = machine
+            self.order_stop(attempt, "one too many")
 
     def unbind(self, attempt: Attempt, now: float, requeue: bool = True) -> None:
         """The attempt is proved gone: give back what it held."""
@@ -254,8 +261,7 @@
         machine.cpus = max(0.0, machine.cpus - spec.cpus)
         machine.gpus = max(0.0, machine.gpus - spec.gpus)
         machine.memory = max(0.0, machine.memory - spec.memory)
-        self.team_cpus[spec.team] = max(0.0, self.team_cpus.get(spec.team, 0.0) - spec.cpus)
-        self.team_gpus[spec.team] = max(0.0, self.team_gpus.get(spec.team, 0.0) - spec.gpus)
+        self.bound_usage.give_back(spec)
         self.index.room_changed(machine)
         job = self.jobs.get(spec.job_id)
         if job is not None and job.bound.get(attempt.index) is attempt:
@@ -338,7 +344,7 @@
             self.index.forget(machine)
         self._forget(name)
         self.tombstones.bury_for_good(name, now)
-        self.takeover.confirm(name)
+        self.confirm(name, reason, now)
         self.gone.add(name)
         self.wake_placing = True
 
@@ -358,26 +364,26 @@
         ):
             index.pop(name, None)
 
-    # --- stopping ---
+    def confirm(self, name: str, proof: str, now: float) -> None:
+        """What an earlier leader may have left on the machine is known, or gone; `proof` says by what."""
+        if not self.takeover.confirm(name):
+            return
+        left = len(self.takeover.unconfirmed)
+        after_s = now - self.started
+        log_event(log, logging.DEBUG, "machine_confirmed", machine=name, proof=proof, after_s=after_s, unconfirmed=left)
+        if not left:
+            log_event(log, logging.INFO, "machines_confirmed", term=self.term, after_s=after_s)
+
+    # --- stopping: a module of its own ---
 
     def stop(self, attempt: Attempt, reason: str, hurry: bool = False) -> None:
-        """Stop a task to make room or to drain; it saves first unless its room is needed at once. The tasks of a group
-        are stopped together."""
-        if attempt.stop or attempt.exited:
-            return
-        group = self.groups.get(attempt.job_id)
-        if group is not None and group.bound.get(attempt.index) is attempt:
-            groups.stop(self, group, reason, hurry)
-            return
-        self.halt(attempt, reason, hurry)
+        """Stop a task to make room or to drain; the tasks of a group are stopped together."""
+        stopping.stop(self, attempt, reason, hurry)
 
     def halt(self, attempt: Attempt, reason: str, hurry: bool, wait_s: float = 0.0) -> None:
         """One task, whatever becomes of the others; `wait_s` is what it may need on top of its saving."""
-        if attempt.stop or attempt.exited:
-            return
-        attempt.stop = True
-        attempt.stop_reason = reason
-        self.machines_with_pending_commands[attempt.machine.name] = attempt.machine
-        spec = attempt.spec
-        if spec is not None and spec.snapshot_s > 0 and not hurry:
-            attempt.wind_down = spec.snapshot_cost_s + 1.0 + wait_s
+        stopping.halt(self, attempt, reason, hurry, wait_s)
+
+    def order_stop(self, attempt: Attempt, reason: str) -> None:
+        """The attempt has to go; its machine is told with the next commands."""
+        stopping.order_stop(self, attempt, reason)
--- a/sorrelsill/workers/loss.py
+++ b/sorrelsill/workers/loss.py
@@ -82,7 +82,7 @@
     machine.first_at = None
     machine.rostered = False
     cluster.release_all(machine, now, "machine silent, work lost")
-    cluster.takeover.confirm(machine.name)
+    cluster.confirm(machine.name, "lease over", now)
     cluster.gone.add(machine.name)
 
 
@@ -94,7 +94,7 @@
     for name in list(unconfirmed):
         machine = cluster.machines.get(name)
         if machine is None or machine.answered_at is None:
-            cluster.takeover.confirm(name)
+            cluster.confirm(name, "nobody can have renewed its lease", now)
             cluster.gone.add(name)
     cluster.wake_placing = True
 
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.workers import messages
 from sorrelsill.workers.attempt import Attempt
 from sorrelsill.workers.commands import commands
@@ -104,7 +105,7 @@
     if machine.seen_at == float("-inf"):
         machine.seen_at = now
     if report.token == cluster.term:
-        _sync(cluster, machine, report, True, now)
+        _sync(cluster, machine, report, True, now, direct=True)
         machine.reachable = True
         machine.proved_at = now
     if machine.answered_at is None:
@@ -135,7 +136,9 @@
         cluster.evicting[machine.name] = machine
 
 
-def _sync(cluster: ClusterState, machine: Machine, report: messages.Report, reachable: bool, now: float) -> None:
+def _sync(
+    cluster: ClusterState, machine: Machine, report: messages.Report, reachable: bool, now: float, direct: bool = False
+) -> None:
     if report.token != cluster.term or machine.synced:
         return
     machine.synced = True
@@ -146,7 +149,7 @@
         machine.proved_at = now
     if machine.rostered or machine.name in cluster.takeover.unconfirmed:
         machine.rostered = True
-    cluster.takeover.confirm(machine.name)
+    cluster.confirm(machine.name, "direct answer" if direct else "report", now)
     cluster.machines_with_pending_commands[machine.name] = machine
     if not machine.rostered:
         cluster.to_roster[machine.name] = machine
@@ -190,8 +193,7 @@
         if job is not None:
             cluster.adopt(attempt, job)
         else:
-            attempt.stop = True
-            cluster.machines_with_pending_commands[machine.name] = machine
+            cluster.order_stop(attempt, "its job is over or not known")
     return attempt
 
 
@@ -211,7 +213,16 @@
         cluster.index.hold_image(machine, attempt.spec)  # it has its image, and waits for the rest of its group
     if item.phase == "running" and attempt.running_since is None:
         attempt.running_since = now
-        log.debug("runs %s on %s, %.2f s after it was bound", attempt.task_id, machine.name, now - attempt.created)
+        if log.isEnabledFor(logging.DEBUG):
+            log_event(
+                log,
+                logging.DEBUG,
+                "runs",
+                task=attempt.task_id,
+                attempt=attempt.attempt_number,
+                machine=machine.name,
+                after_bind_s=now - attempt.created,
+            )
         if attempt.spec is not None:
             cluster.index.hold_image(machine, attempt.spec)
             cluster.dirty.add(attempt.job_id)
@@ -250,8 +261,7 @@
         # Another attempt of the same task would be wasted: the result is there.
         other = job.bound.get(attempt.index) if job is not None else None
         if other is not None and other is not attempt:
-            other.stop = True
-            cluster.machines_with_pending_commands[other.machine.name] = other.machine
+            cluster.order_stop(other, "the result is there")
         cluster.unbind(attempt, now, requeue=job is not None and job.spec.endless)
         return
     attempt.clearable = True
--- /dev/null
+++ b/sorrelsill/workers/stopping.py
@@ -0,0 +1,55 @@
+"""Stopping tasks: whether they may save first, and the one place where an attempt is marked as having to go. Pure."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sorrelsill.events import log_event
+from sorrelsill.workers import groups
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.attempt import Attempt
+    from sorrelsill.workers.cluster_state import ClusterState
+
+log = logging.getLogger(__name__)
+
+
+def stop(cluster: ClusterState, attempt: Attempt, reason: str, hurry: bool) -> None:
+    """Stop a task to make room or to drain; it saves first unless its room is needed at once. The tasks of a group
+    are stopped together."""
+    if attempt.stop or attempt.exited:
+        return
+    group = cluster.groups.get(attempt.job_id)
+    if group is not None and group.bound.get(attempt.index) is attempt:
+        groups.stop(cluster, group, reason, hurry)
+        return
+    halt(cluster, attempt, reason, hurry)
+
+
+def halt(cluster: ClusterState, attempt: Attempt, reason: str, hurry: bool, wait_s: float = 0.0) -> None:
+    """One task, whatever becomes of the others; `wait_s` is what it may need on top of its saving, in seconds."""
+    if attempt.stop or attempt.exited:
+        return
+    spec = attempt.spec
+    if spec is not None and spec.snapshot_s > 0 and not hurry:
+        attempt.wind_down = spec.snapshot_cost_s + 1.0 + wait_s
+    order_stop(cluster, attempt, reason)
+
+
+def order_stop(cluster: ClusterState, attempt: Attempt, reason: str) -> None:
+    """The attempt has to go; its machine is told with the next commands. Every way to stop a task ends here."""
+    attempt.stop = True
+    attempt.stop_reason = reason
+    cluster.machines_with_pending_commands[attempt.machine.name] = attempt.machine
+    if log.isEnabledFor(logging.DEBUG):
+        log_event(
+            log,
+            logging.DEBUG,
+            "halt",
+            task=attempt.task_id,
+            attempt=attempt.attempt_number,
+            machine=attempt.machine.name,
+            reason=reason,
+            wind_down_s=attempt.wind_down,
+        )
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -12,6 +12,7 @@
 from sorrelsill.jobs import JobSpec, RosterEntry
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
+from sorrelsill.workers.team_usage import Resources
 
 MachineKind = tuple[str, str | None, bool]  # type, zone (None: not known), whether it is certainly a spot machine
 
@@ -72,24 +73,24 @@
             self._ended_unaccounted[team] = have[0] + cpus, have[1] + gpus
             self._unaccounted = None
 
-    def confirm(self, name: str) -> None:
-        """The machine was heard with the new token, or holds nothing any more."""
+    def confirm(self, name: str) -> bool:
+        """The machine was heard with the new token, or holds nothing any more. False if it was confirmed before."""
         sort = self.unconfirmed.pop(name, None)
-        if sort is not None:
-            self._unconfirmed_kinds[sort] -= 1
-            if not self._unconfirmed_kinds[sort]:
-                del self._unconfirmed_kinds[sort]
-            self._unaccounted = None
+        if sort is None:
+            return False
+        self._unconfirmed_kinds[sort] -= 1
+        if not self._unconfirmed_kinds[sort]:
+            del self._unconfirmed_kinds[sort]
+        self._unaccounted = None
+        return True
 
     def settled(self, job: Job) -> bool:
         """Whether everything an earlier leader may have started of a job is accounted for. A machine that is not heard
         yet can hold tasks only of jobs that allow its type, zone and kind."""
         return not job.old or not any(_may_hold(sort, job.spec) for sort in self._unconfirmed_kinds)
 
-    def unaccounted(
-        self, team: str, jobs: dict[str, Job], catalog: Catalog, unknown: Iterable[Machine]
-    ) -> tuple[float, float]:
-        """CPUs and GPUs that tasks of a team may be using unseen, which count toward its limit.
+    def unaccounted(self, team: str, jobs: dict[str, Job], catalog: Catalog, unknown: Iterable[Machine]) -> Resources:
+        """What tasks of a team may be using unseen, which count toward its limit.
 
         On machines not heard yet: what is neither done nor on a heard machine of its jobs that such a machine may hold,
         and what is left of its jobs lately over; never more than all such machines. Found by reasoning: with their
@@ -107,7 +108,7 @@
         for machine in unknown:
             cpus += max(0.0, machine.cap_cpus - machine.cpus)
             gpus += max(0.0, machine.cap_gpus - machine.gpus)
-        return cpus, gpus
+        return Resources(cpus, gpus)
 
     def _count_unaccounted(
         self, jobs: dict[str, Job], catalog: Catalog
--- a/tests/scenarios/test_team_limits.py
+++ b/tests/scenarios/test_team_limits.py
@@ -30,7 +30,7 @@
 
 
 def test_tasks_of_a_job_that_is_over_count_while_their_machine_takes_other_work() -> None:
-    """Found in an incident: what they use was told from the room left on their machine, which other teams' work took."""
+    """Found in an incident: what they use was told from the room on their machine, which other teams' work took."""
     leader = LeaderInMemory(2, roster=True, teams=TEAMS)
     in_zone_a, in_zone_b = leader.names
     run_by_earlier_leader(leader, in_zone_a, "run-over", 10)
@@ -77,3 +77,26 @@
         await simulation.until_phase("run-red", "done")
 
     run_scenario(scenario, teams=CLUSTER_TEAMS)
+
+
+def test_operators_see_what_each_team_uses() -> None:
+    async def scenario(simulation: SimulatedCluster) -> None:
+        await simulation.submit(job("run-red", shards=9, expectedRunS=30.0))
+        await simulation.until(lambda: len(simulation.running("run-red")) == 8)
+        await trio.sleep(2)
+        node = simulation.nodes[await simulation.until_leader()]
+        assert node.state()["teams"]["red"] == {
+            "bound_cpus": 16.0,
+            "bound_gpus": 0.0,
+            "unaccounted_cpus": 0.0,
+            "unaccounted_gpus": 0.0,
+            "limit_cpus": 16.0,
+            "limit_gpus": 0.0,
+            "highest_bound_cpus": 16.0,
+            "highest_bound_gpus": 0.0,
+        }
+        assert node.state()["starts_refused"] > 0
+        metrics = await simulation.ask_raw(await simulation.until_leader(), "/metrics")
+        assert b'sorrelsill_team{amount="bound_cpus",team="red"} 16.0' in metrics
+
+    run_scenario(scenario, teams=CLUSTER_TEAMS)
