Jobs lately over keep their spec until their tasks are proved gone

Cause: on machines that a new leader had heard, tasks of jobs over before its term counted toward each team's limit with the room left on their machine; work of others that was bound there took that room and with it the count, while the tasks still ran. A job known to be over while its record was live in the view was counted nowhere. Change: such a job stays in the cluster state with its spec and the tasks that may run unseen. Tasks found on heard machines are bound with their own size until they are proved gone; the rest counts on machines that are not heard and may hold it. A machine with tasks of jobs that are not known takes no work until these are gone, so what is counted by its room stays counted.

--- a/sorrelsill/controller/followed_jobs.py
+++ b/sorrelsill/controller/followed_jobs.py
@@ -28,13 +28,21 @@
         self._ended_window_s = ended_window_s  # cancelled tasks may live so long
 
     def load(self, cluster: ClusterState) -> None:
-        """All live jobs into the cluster state of a term that begins, and what jobs lately over may still use."""
-        whole = True
+        """All jobs of which an earlier leader may have left tasks, into the cluster state of a term that begins: live
+        ones, and those lately over, since every task of a cancelled job is gone within `cancel_s` of the answer."""
+        readable = True
         for job_id, value, rev in self._view.jobs():
-            if not self._over(job_id):
-                whole &= self._add(cluster, job_id, value, rev)
-        # With a damaged record among them, what its tasks use can't be told.
-        cluster.takeover.expect_ended_jobs(self._lately_over() if whole else None)
+            if self._over(job_id):
+                # Known by a peer's word or a read of the final key, and not followed yet. Found by reading: neither
+                # among the live jobs nor among those lately over, it was counted nowhere.
+                readable &= self._add_ended(cluster, job_id, value)
+            else:
+                readable &= self._add(cluster, job_id, value, rev)
+        lately_over = self._view.lately_over(self._ended_window_s)
+        for job_id, value in lately_over.records:
+            readable &= self._add_ended(cluster, job_id, value)
+        # With a damaged record among them, or an end that was missed, what may be in use can't be told.
+        cluster.takeover.set_all_ended_known(readable and lately_over.complete)
 
     def record_changed(self, cluster: ClusterState, job_id: str, value: Any, rev: int) -> bool:
         """A job's record was written or removed. True if placing has to look at it."""
@@ -55,24 +63,18 @@
         """Whether the job is known to be over, whatever an older record says."""
         return self._view.final(job_id) is not None or self._cancellations.known(job_id)
 
-    def _lately_over(self) -> list[tuple[str, float, float]] | None:
-        """What cancelled jobs may still run: every task is gone within `cancel_s` of the answer. None if this process
-        has not followed the records for long enough to know of all of them."""
-        ended = self._view.lately_over(self._ended_window_s)
-        if ended is None:
-            return None
-        out = []
-        for job_id, value in ended:
-            final = self._view.final(job_id)
-            if isinstance(final, dict) and final.get("p") == "done":
-                continue
-            try:
-                spec, done, _ = parse_record(value, self._view.chunks(job_id))
-            except (InvalidJobError, ValueError, TypeError):
-                return None
-            left = spec.shards - done.count
-            out.append((spec.team, left * spec.cpus, left * spec.gpus))
-        return out
+    def _add_ended(self, cluster: ClusterState, job_id: str, value: Any) -> bool:
+        """A job that is over, with its last live record. False if that is damaged."""
+        final = self._view.final(job_id)
+        if isinstance(final, dict) and final.get("p") == "done":
+            return True  # nothing of it can run
+        try:
+            spec, done, _ = parse_record(value, self._view.chunks(job_id))
+        except (InvalidJobError, ValueError, TypeError) as error:
+            log.error("record of %s, which is over: %s", job_id, error)
+            return False
+        cluster.add_ended_job(spec, done)
+        return True
 
     def _add(self, cluster: ClusterState, job_id: str, value: Any, rev: int) -> bool:
         try:
--- a/sorrelsill/jobs/records.py
+++ b/sorrelsill/jobs/records.py
@@ -35,6 +35,19 @@
         self.count += 1
         return True
 
+    def discard(self, index: int) -> None:
+        """The task counts as not finished again."""
+        if index in self:
+            self._bits[index >> 3] &= ~(1 << (index & 7))
+            self.count -= 1
+
+    def copy(self) -> TaskSet:
+        """A set of its own with the same tasks."""
+        same = TaskSet(self.size)
+        same.count = self.count
+        same._bits[:] = self._bits
+        return same
+
     def encode(self, start: int, end: int) -> str:
         """Compact text of the part [start, end); start is a multiple of 8."""
         ranges: list[str] = []
--- a/sorrelsill/store/test_view.py
+++ b/sorrelsill/store/test_view.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from sorrelsill.settings import StateLimits
-from sorrelsill.store import Store, View, job_key
+from sorrelsill.store import EndedRecords, Store, View, job_key
 from tests.simulation import FakeNet, FakeStore
 
 
@@ -65,14 +65,15 @@
 
 def test_what_ended_lately_is_told_only_if_none_can_be_missing() -> None:
     async def tell(view: View, fake: FakeStore) -> None:
-        assert view.lately_over(10) is None
+        assert not view.lately_over(10).complete
         write(fake, job_key("run-1"), {"n": 1})
         await trio.sleep(11)
         write(fake, job_key("run-1"), None)
         await trio.sleep(1)
-        assert view.lately_over(10) == [("run-1", {"n": 1})] and view.lately_over(20) is None
+        assert view.lately_over(10) == EndedRecords([("run-1", {"n": 1})], complete=True)
+        assert view.lately_over(20) == EndedRecords([("run-1", {"n": 1})], complete=False)
         await trio.sleep(10)
-        assert view.lately_over(10) == []
+        assert view.lately_over(10) == EndedRecords([], complete=True)
 
     _follow(tell)
 
@@ -87,12 +88,13 @@
         for number in range(6000):
             view.apply(job_key(f"run-{number}"), None, 20_000 + number, False)
         await trio.sleep(8)
-        assert len(view.lately_over(10) or ()) == 6000
+        lately_over = view.lately_over(10)
+        assert len(lately_over.records) == 6000 and lately_over.complete
         await trio.sleep(31)
         view.apply(job_key("run-x"), {"n": 0}, 30_000, True)
         view.apply(job_key("run-x"), None, 30_001, False)
         assert list(view.ended) == ["run-x"], "what is older takes no memory"
-        assert view.lately_over(31) is None, "nothing is said about more than is remembered"
+        assert not view.lately_over(31).complete, "nothing is said about more than is remembered"
 
     _follow(tell)
 
--- a/sorrelsill/store/view.py
+++ b/sorrelsill/store/view.py
@@ -17,6 +17,7 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import trio
@@ -60,6 +61,14 @@
     return f"{_ROSTER}{zlib.crc32(machine.encode()) % constants.ROSTER_PARTS:02d}"
 
 
+@dataclass(frozen=True, slots=True)
+class EndedRecords:
+    """Jobs that ended lately."""
+
+    records: list[tuple[str, Any]]  # names, and last live records
+    complete: bool  # none can be missing
+
+
 class View:
     """Live keys in memory; final records only in a bounded cache, since they are kept for ever."""
 
@@ -201,12 +210,11 @@
         while now - next(iter(self.ended.values()))[0] > self._keep_ended_s:
             self.ended.popitem(last=False)
 
-    def lately_over(self, window: float) -> list[tuple[str, Any]] | None:
-        """The last live records of jobs that ended within the last `window` seconds; None if some may be missing."""
+    def lately_over(self, window: float) -> EndedRecords:
+        """The last live records of jobs that ended within the last `window` seconds."""
         now = trio.current_time()
-        if now - window < self.whole_since or window > self._keep_ended_s:
-            return None
-        return [(job_id, value) for job_id, (at, value) in self.ended.items() if now - at <= window]
+        complete = now - window >= self.whole_since and window <= self._keep_ended_s
+        return EndedRecords([(i, value) for i, (at, value) in self.ended.items() if now - at <= window], complete)
 
     async def _load(self) -> None:
         """Read everything live; the final records stay where they are."""
--- a/sorrelsill/workers/attempt_index.py
+++ b/sorrelsill/workers/attempt_index.py
@@ -1,4 +1,4 @@
-"""All attempts that are on machines as far as is known, by job, and machines with tasks of no live job."""
+"""All attempts that are on machines as far as is known, by job, and machines with tasks of jobs that are not known."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self.by_job: dict[str, set[Attempt]] = {}  # exited ones too
-        self.machines_with_unknown: dict[str, Machine] = {}  # with tasks of jobs that are over or unknown
+        self.machines_with_unknown: dict[str, Machine] = {}  # with tasks of jobs that are not known
 
     def enter(self, attempt: Attempt) -> None:
         """An attempt is on a machine, as far as is known."""
@@ -34,7 +34,7 @@
             self.count_unknown(attempt, -1)
 
     def count_unknown(self, attempt: Attempt, change: int) -> None:
-        """Tasks that no live job accounts for still run, and still count toward their team's limit."""
+        """Tasks of jobs that are not known still run, and may be of any team."""
         if attempt.spec is not None:
             return
         machine = attempt.machine
@@ -43,6 +43,7 @@
             self.machines_with_unknown[machine.name] = machine
         else:
             self.machines_with_unknown.pop(machine.name, None)
+            machine.unsized = False
 
     def of_job(self, job_id: str) -> set[Attempt]:
         """All attempts of a job that are on machines, exited ones too."""
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -22,6 +22,7 @@
 from sorrelsill.workers import loss, messages, reports, stopping
 from sorrelsill.workers.attempt import Attempt
 from sorrelsill.workers.attempt_index import AttemptIndex
+from sorrelsill.workers.ended_jobs import EndedJob
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.machine_index import MachineIndex
@@ -153,7 +154,9 @@
             return
         self.job_changed(job_id)
         if not self.takeover.settled(job):
-            self.takeover.count_ended(job.spec.team, job.unknown * job.spec.cpus, job.unknown * job.spec.gpus)
+            ended = self.takeover.add_ended_job(job.spec, job.done.copy())
+            for index in job.bound:
+                ended.found(index)
         for attempt in self.attempts.of_job(job_id):
             if attempt.exited:
                 attempt.clearable = True
@@ -162,6 +165,13 @@
                 self.order_stop(attempt, "over")
         self.wake_placing = True
 
+    def add_ended_job(self, spec: JobSpec, done: TaskSet) -> None:
+        """A job that was over before this term; its tasks on machines are stopped, and count until they are gone."""
+        ended = self.takeover.add_ended_job(spec, done)
+        for attempt in list(self.attempts.of_job(spec.job_id)):
+            if attempt.spec is None and not attempt.exited:
+                self.adopt_ended(attempt, ended)
+
     def job_changed(self, job_id: str) -> None:
         """Called wherever a job comes or ends, or what is done or bound of it changes."""
         self._changed_jobs[job_id] = None
@@ -182,6 +192,7 @@
     def bind(self, job: Job, index: int, machine: Machine, now: float, attempt_number: int | None = None) -> Attempt:
         """`try_no` is given for gangs, whose tasks find each other by a common attempt number."""
         attempt = Attempt(job.spec.job_id, index, attempt_number or self.next_attempt_number(), machine, job.spec, now)
+        attempt.located = True
         self._attach(attempt, job)
         self.machines_with_pending_commands[machine.name] = machine
         if self.first_bound_at is None:
@@ -249,6 +260,16 @@
         else:
             self.order_stop(attempt, "one too many")
 
+    def adopt_ended(self, attempt: Attempt, ended: EndedJob) -> None:
+        """A task of a job that is over, started by an earlier leader. It takes room and counts toward its team's limit
+        like any other, until it is proved gone."""
+        self.attempts.count_unknown(attempt, -1)
+        attempt.spec = ended.spec
+        self._take_room(attempt)
+        ended.found(attempt.index)
+        self.takeover.recount()
+        self.order_stop(attempt, "its job is over")
+
     def unbind(self, attempt: Attempt, now: float, requeue: bool = True) -> None:
         """The attempt is proved gone: give back what it held."""
         machine, spec = attempt.machine, attempt.spec
@@ -263,6 +284,9 @@
         machine.memory = max(0.0, machine.memory - spec.memory)
         self.bound_usage.give_back(spec)
         self.index.room_changed(machine)
+        ended = self.takeover.ended.get(spec.job_id)
+        if ended is not None and not attempt.located:
+            ended.lost_sight(attempt.index)
         job = self.jobs.get(spec.job_id)
         if job is not None and job.bound.get(attempt.index) is attempt:
             del job.bound[attempt.index]
--- a/sorrelsill/workers/loss.py
+++ b/sorrelsill/workers/loss.py
@@ -52,6 +52,7 @@
         return lost
     cluster.expired_at = now
     cluster.takeover.recount()
+    cluster.takeover.forget_ended_jobs()
     looked_at: list[Machine] = []
     released = 0
     while (machine := cluster.silence.pop_due(now)) is not None:
@@ -77,7 +78,7 @@
 
 def _declare_lost(cluster: ClusterState, machine: Machine, now: float) -> None:
     machine.lost = True
-    machine.synced = machine.reachable = False
+    machine.synced = machine.reachable = machine.located = False
     machine.relearn = True
     machine.first_at = None
     machine.rostered = False
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -57,6 +57,7 @@
     draining = _Condition(False)
     returning = _Condition(False)
     faulty = _Condition(False)
+    unsized = _Condition(False)  # holds tasks of jobs that are not known: how much they take can't be told
     evict_at: _Condition[float | None] = _Condition(None)  # when the cloud takes it away
 
     def __init__(
@@ -79,6 +80,7 @@
         self.relearn = False  # our token may be known to it from an earlier session: showing it proves no hearing
         self.first_at: float | None = None  # receipt of the first report since it is not synced
         self.answered_at: float | None = None  # receipt of the last report that we answered
+        self.located = False  # its attempts are on it for certain: it reported them with our term as its highest token
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.live = 0  # attempts that hold room on it
         self.unknown = 0  # tasks on it of jobs that are over or unknown, not yet gone
@@ -100,6 +102,7 @@
             and not self.draining
             and not self.returning
             and not self.faulty
+            and not self.unsized
             and self.evict_at is None
         )
         if usable != self.usable:
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -173,6 +173,11 @@
         _take_phase(cluster, attempt, item, now)
     if seen != len(attempts):
         _drop_absent(cluster, machine, report, now, proper)
+    if machine.synced and not machine.located:
+        # What an earlier message told may have been a late copy; what this one tells is there.
+        machine.located = True
+        for attempt in attempts.values():
+            attempt.located = True
 
 
 def _found(cluster: ClusterState, machine: Machine, item: messages.TaskReport, now: float) -> Attempt | None:
@@ -183,16 +188,22 @@
         # Guards against one damaged entry hiding the machine's other tasks.
         log.error("report of %s: %s", machine.name, error)
         return None
-    attempt = Attempt(job_id, index, item.attempt_number, machine, None, now)
+    attempt = Attempt(job_id, index, item.attempt_number, machine, None, now, located=machine.located)
     if attempt.task_id != item.task_id:
         log.error("report of %s: task %s", machine.name, item.task_id[:80])
         return None
     cluster.attempts.enter(attempt)
     if item.phase != "exited":
         job = cluster.jobs.get(job_id)
+        ended = cluster.takeover.ended.get(job_id)
         if job is not None:
             cluster.adopt(attempt, job)
+        elif ended is not None:
+            cluster.adopt_ended(attempt, ended)
         else:
+            # Guards against work that fills the machine and hides what these tasks use: their size is not known, so
+            # the room that is left counts toward every team's limit, and must not be given away before they are gone.
+            machine.unsized = True
             cluster.order_stop(attempt, "its job is over or not known")
     return attempt
 
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -6,16 +6,20 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from sorrelsill.fleet import Catalog
-from sorrelsill.jobs import JobSpec, RosterEntry
+from sorrelsill.jobs import JobSpec, RosterEntry, TaskSet
+from sorrelsill.workers.ended_jobs import EndedJob
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
-from sorrelsill.workers.team_usage import Resources
+from sorrelsill.workers.team_usage import NOTHING, Resources, resources_of
 
 MachineKind = tuple[str, str | None, bool]  # type, zone (None: not known), whether it is certainly a spot machine
 
+_ANY_SIZE = Resources(float("inf"), float("inf"))
+
 
 def _may_hold(sort: MachineKind, spec: JobSpec) -> bool:
     machine_type, zone, spot = sort
@@ -30,6 +34,19 @@
     return spec.zone is None or zone is None or zone == spec.zone
 
 
+@dataclass(frozen=True, slots=True)
+class _Unaccounted:
+    """What may be in use on machines that are not heard."""
+
+    size: Resources  # all that they have
+    by_team: dict[str, Resources] | None  # what tasks of each team may take; None if that is not known
+
+    def of(self, team: str) -> Resources:
+        if self.by_team is None:
+            return self.size
+        return self.size.at_most(self.by_team.get(team, NOTHING))
+
+
 class TakeoverAccounting:
     """The machines not confirmed in this term, and the resources that may be in use on them."""
 
@@ -37,8 +54,9 @@
         self.unconfirmed: dict[str, MachineKind] = {}  # registered machines not yet heard with our token
         self.unconfirmed_addresses: dict[str, str] = {}
         self._unconfirmed_kinds: dict[MachineKind, int] = {}
-        self._ended_unaccounted: dict[str, tuple[float, float]] | None = None  # team -> what its ended jobs may use
-        self._unaccounted: tuple[tuple[float, float], dict[str, tuple[float, float]] | None] | None = None
+        self.ended: dict[str, EndedJob] = {}  # jobs that are over, of which such machines may hold tasks
+        self._all_ended_known = False  # no other job can have left tasks there
+        self._unaccounted: _Unaccounted | None = None
 
     def recount(self) -> None:
         """What the counts rest on has changed: work them out anew when they are next asked for."""
@@ -59,19 +77,22 @@
             self.unconfirmed_addresses[name] = entry.addr
         self._unaccounted = None
 
-    def expect_ended_jobs(self, ended: list[tuple[str, float, float]] | None) -> None:
-        """Team, CPUs and GPUs that jobs lately over may still use; None if that is not known."""
-        self._ended_unaccounted = None if ended is None else {}
+    def add_ended_job(self, spec: JobSpec, accounted: TaskSet) -> EndedJob:
+        """A job is over; all but the tasks accounted for may still run on machines that are not heard."""
+        ended = self.ended[spec.job_id] = EndedJob(spec, accounted)
         self._unaccounted = None
-        for team, cpus, gpus in ended or ():
-            self.count_ended(team, cpus, gpus)
+        return ended
 
-    def count_ended(self, team: str, cpus: float, gpus: float) -> None:
-        """A job that is over may still use so much."""
-        if self._ended_unaccounted is not None:
-            have = self._ended_unaccounted.get(team, (0.0, 0.0))
-            self._ended_unaccounted[team] = have[0] + cpus, have[1] + gpus
-            self._unaccounted = None
+    def set_all_ended_known(self, known: bool) -> None:
+        """Whether the jobs added are all that were over before this term and may have left tasks."""
+        self._all_ended_known = known
+        self._unaccounted = None
+
+    def forget_ended_jobs(self) -> None:
+        """Once all machines are heard, tasks of these are bound where they are. Not in the middle of a report: the last
+        machine's tasks are still to be found then."""
+        if not self.unconfirmed:
+            self.ended.clear()
 
     def confirm(self, name: str) -> bool:
         """The machine was heard with the new token, or holds nothing any more. False if it was confirmed before."""
@@ -87,45 +108,47 @@
     def settled(self, job: Job) -> bool:
         """Whether everything an earlier leader may have started of a job is accounted for. A machine that is not heard
         yet can hold tasks only of jobs that allow its type, zone and kind."""
-        return not job.old or not any(_may_hold(sort, job.spec) for sort in self._unconfirmed_kinds)
+        return not job.old or not self._may_be_unheard(job.spec)
+
+    def _may_be_unheard(self, spec: JobSpec) -> bool:
+        """Whether a machine that is not heard may hold tasks of the job."""
+        return any(_may_hold(sort, spec) for sort in self._unconfirmed_kinds)
 
     def unaccounted(self, team: str, jobs: dict[str, Job], catalog: Catalog, unknown: Iterable[Machine]) -> Resources:
         """What tasks of a team may be using unseen, which count toward its limit.
 
-        On machines not heard yet: what is neither done nor on a heard machine of its jobs that such a machine may hold,
-        and what is left of its jobs lately over; never more than all such machines. Found by reasoning: with their
-        whole size counted for every team, fifty silent machines filled small teams' limits for a lease.
+        On machines not heard yet: what is neither done nor on a heard machine of its jobs, live ones and those lately
+        over, that such a machine may hold; never more than all such machines. Found by reasoning: with their whole size
+        counted for every team, fifty silent machines filled small teams' limits for a lease.
 
-        On machines heard: tasks of jobs that were over before this term began, and are not gone yet. Found in an
-        incident: a job cancelled while nobody led was not counted, and its team went over its limit."""
+        On machines heard, everything is bound with its own size, tasks of jobs lately over as well. Found in an
+        incident: these were counted by the room left on their machine, which other work took. Of tasks of jobs that are
+        not known the size can't be told, so that room counts, and the machine takes no work until they are gone."""
         if self._unaccounted is None:
             self._unaccounted = self._count_unaccounted(jobs, catalog)
-        size, by_team = self._unaccounted
-        cpus, gpus = size
-        if by_team is not None:
-            mine = by_team.get(team, (0.0, 0.0))
-            cpus, gpus = min(cpus, mine[0]), min(gpus, mine[1])
+        unseen = self._unaccounted.of(team)
         for machine in unknown:
-            cpus += max(0.0, machine.cap_cpus - machine.cpus)
-            gpus += max(0.0, machine.cap_gpus - machine.gpus)
-        return Resources(cpus, gpus)
-
-    def _count_unaccounted(
-        self, jobs: dict[str, Job], catalog: Catalog
-    ) -> tuple[tuple[float, float], dict[str, tuple[float, float]] | None]:
-        cpus = gpus = 0.0
+            room = Resources(machine.cap_cpus - machine.cpus, machine.cap_gpus - machine.gpus)
+            unseen = unseen.plus(room.at_least(NOTHING))
+        return unseen
+
+    def _count_unaccounted(self, jobs: dict[str, Job], catalog: Catalog) -> _Unaccounted:
+        size = NOTHING
         for (machine_type, _, _), count in self._unconfirmed_kinds.items():
             kind = catalog.machine_types.get(machine_type)
             # A type that is not known may be of any size.
-            cpus += kind.cpus * count if kind is not None else float("inf")
-            gpus += kind.gpus * count if kind is not None else float("inf")
-        size = cpus, gpus
-        if self._ended_unaccounted is None or not self.unconfirmed:
-            return size, None
-        by_team = dict(self._ended_unaccounted)
+            size = size.plus(Resources(kind.cpus * count, kind.gpus * count) if kind is not None else _ANY_SIZE)
+        if not self._all_ended_known or not self.unconfirmed:
+            return _Unaccounted(size, None)
+        by_team: dict[str, Resources] = {}
+        for ended in self.ended.values():
+            if self._may_be_unheard(ended.spec):
+                _add(by_team, ended.spec, ended.unseen)
         for job in jobs.values():
             if not self.settled(job):
-                have = by_team.get(job.spec.team, (0.0, 0.0))
-                left = job.unknown
-                by_team[job.spec.team] = have[0] + left * job.spec.cpus, have[1] + left * job.spec.gpus
-        return size, by_team
+                _add(by_team, job.spec, job.unknown)
+        return _Unaccounted(size, by_team)
+
+
+def _add(by_team: dict[str, Resources], spec: JobSpec, tasks: int) -> None:
+    by_team[spec.team] = by_team.get(spec.team, NOTHING).plus(resources_of(spec, tasks))
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -8,6 +8,7 @@
 
 from sorrelsill import constants
 from sorrelsill.http import Client, MaySend, NoAnswerError, always
+from sorrelsill.jobs import TaskSet
 from sorrelsill.workers import CallLimits, Pusher
 from tests.simulation import LOSS_S, OVERDUE_S, VALIDITY_S, LeaderInMemory, array_job, count_calls
 
@@ -69,7 +70,9 @@
     silent = [n for n in leader.names if leader.spot(n)][:50]
     leader.add(array_job("run-old", shards=40, owner="red"), old=True)
     leader.add(array_job("run-ordinary", shards=40, owner="red", reclaimable=False), old=True)
-    leader.cluster.takeover.expect_ended_jobs([("red", 20.0, 0.0)])
+    leader.cluster.add_ended_job(array_job("run-over", shards=20, owner="red"), TaskSet(20))
+    leader.cluster.add_ended_job(array_job("run-over-ordinary", shards=20, owner="red", reclaimable=False), TaskSet(20))
+    leader.cluster.takeover.set_all_ended_known(True)
     heard = [n for n in leader.names if n not in silent]
     leader.all_report(heard)
     leader.all_report(heard)
@@ -79,14 +82,14 @@
     assert not jobs["run-old"].bound, "its tasks may be running there"
     assert len(jobs["run-ordinary"].bound) == 40, "a spot machine can't hold them"
     assert len(jobs["run-new"].bound) == 600 - 40 - 40 - 20, "all that may be running counts toward the limit"
-    leader.cluster.takeover.expect_ended_jobs(None)
+    leader.cluster.takeover.set_all_ended_known(False)
     assert leader.cluster.unaccounted("red") == (50 * 16.0, 0.0), "and the whole machines if that can't be told"
 
 
 def test_a_job_that_ends_unseen_still_counts_toward_its_teams_limit() -> None:
     leader = LeaderInMemory(60, roster=True)
     leader.add(array_job("run-old", shards=200, owner="red"), old=True)
-    leader.cluster.takeover.expect_ended_jobs([])
+    leader.cluster.takeover.set_all_ended_known(True)
     assert leader.cluster.unaccounted("red") == (200.0, 0.0)
     leader.cluster.end_job("run-old")
     assert leader.cluster.unaccounted("red") == (200.0, 0.0) and leader.cluster.unaccounted("blue") == (0.0, 0.0)
@@ -104,7 +107,7 @@
         )
         assert not leader.cluster.takeover.settled(leader.cluster.jobs[f"run-{number}"])
     assert leader.cluster.unaccounted("red")[0] > 1000, "of a type that is not known the size is not known either"
-    leader.cluster.takeover.expect_ended_jobs([])
+    leader.cluster.takeover.set_all_ended_known(True)
     assert leader.cluster.unaccounted("red") == (30.0, 0.0)
 
 
--- a/tests/scenarios/test_large_fleet.py
+++ b/tests/scenarios/test_large_fleet.py
@@ -191,7 +191,7 @@
         leader = LeaderInMemory(machines, roster=True)
         for number in range(machines // MACHINES_PER_JOB):
             leader.add(array_job(f"run-{number}", shards=64, owner="blue"), old=True)
-        leader.cluster.takeover.expect_ended_jobs([])
+        leader.cluster.takeover.set_all_ended_known(True)
         calls = count_calls(lambda: leader.all_report(leader.names))
         assert not leader.cluster.takeover.unconfirmed or len(leader.cluster.takeover.unconfirmed) == machines
         return calls / machines
--- a/tests/scenarios/test_team_limits.py
+++ b/tests/scenarios/test_team_limits.py
@@ -6,6 +6,7 @@
 
 from sorrelsill import constants
 from sorrelsill.http import Request
+from sorrelsill.jobs import TaskSet
 from sorrelsill.settings import Team
 from tests.simulation import LeaderInMemory, SimulatedCluster, array_job, job, run_scenario, service
 from tests.simulation.leader_in_memory import TERM
@@ -42,6 +43,85 @@
     assert 10 + len(leader.cluster.jobs["run-red"].bound) <= LIMIT
 
 
+def leader_after_takeover(machines: int = 2) -> LeaderInMemory:
+    """A leader that knows of a job lately over, which had ten tasks."""
+    leader = LeaderInMemory(machines, roster=True, teams=TEAMS)
+    leader.cluster.add_ended_job(array_job("run-over", shards=10, owner="red"), TaskSet(10))
+    leader.cluster.takeover.set_all_ended_known(True)
+    return leader
+
+
+def test_tasks_of_a_job_known_to_be_over_count_with_their_own_size() -> None:
+    """Nor more than that: the team goes on with the rest of its limit, on their machine as well."""
+    leader = leader_after_takeover()
+    in_zone_a, _ = leader.names
+    run_by_earlier_leader(leader, in_zone_a, "run-over", 10)
+    assert leader.cluster.unaccounted("red") == (10.0, 0.0), "they may run on any machine"
+    report_without_answer(leader)
+    assert leader.cluster.team_use("red").total == (10.0, 0.0)
+    leader.add(array_job("run-blue", shards=16, owner="blue", region="a"))
+    leader.add(array_job("run-red", shards=30, owner="red", region="b"))
+    leader.round()
+    assert len(leader.cluster.jobs["run-blue"].bound) == 6, "beside the ten that are not gone yet"
+    assert len(leader.cluster.jobs["run-red"].bound) == 10
+    leader.all_report()
+    leader.all_report()
+    leader.round()
+    assert len(leader.cluster.jobs["run-blue"].bound) == 16
+    assert len(leader.cluster.jobs["run-red"].bound) == 16, "as many as the machine holds"
+
+
+def test_a_machine_with_tasks_of_unknown_size_takes_no_work_until_they_are_gone() -> None:
+    leader = LeaderInMemory(2, roster=True, teams=TEAMS)
+    in_zone_a, in_zone_b = leader.names
+    run_by_earlier_leader(leader, in_zone_a, "run-over", 10)
+    report_without_answer(leader)
+    assert leader.cluster.index.ready.names() == {in_zone_b}
+    assert leader.cluster.team_use("red").total == (16.0, 0.0), "all of its room"
+    leader.all_report()
+    leader.all_report()
+    assert leader.cluster.index.ready.names() == {in_zone_a, in_zone_b}
+    assert leader.cluster.team_use("red").total == (0.0, 0.0)
+
+
+def test_tasks_gone_for_certain_do_not_count_on_machines_that_stay_silent() -> None:
+    """Teams at their limit must not stand still behind a silent machine for what ran elsewhere."""
+    leader = leader_after_takeover(3)
+    silent = leader.names[2]
+    run_by_earlier_leader(leader, leader.names[0], "run-over", 8)
+    for _ in range(3):
+        leader.all_report(leader.names[:2])
+    assert silent in leader.cluster.takeover.unconfirmed
+    assert leader.cluster.team_use("red").total == (2.0, 0.0), "two of the ten were not found"
+
+
+def test_a_task_out_of_a_late_copy_counts_once_wherever_the_true_one_is() -> None:
+    leader = leader_after_takeover(3)
+    copied, true, _ = leader.names
+    run_by_earlier_leader(leader, copied, "run-over", 10)
+    leader.cluster.on_report(leader.next_report(copied, token=TERM - 1), leader.now)
+    assert leader.cluster.team_use("red").total == (10.0, 0.0)
+    leader.tasks[copied].clear()
+    leader.cluster.on_report(leader.next_report(copied), leader.now)
+    assert leader.cluster.team_use("red").total == (10.0, 0.0), "the copy told of what is on another machine now"
+    run_by_earlier_leader(leader, true, "run-over", 10)
+    leader.cluster.on_report(leader.next_report(true), leader.now)
+    assert leader.cluster.team_use("red").total == (10.0, 0.0)
+
+
+def test_a_job_that_ends_in_the_term_counts_each_task_once() -> None:
+    leader = leader_after_takeover(3)
+    run_by_earlier_leader(leader, leader.names[0], "run-old", 4)
+    leader.add(array_job("run-old", shards=6, owner="red"), old=True)
+    leader.cluster.on_report(leader.next_report(leader.names[0]), leader.now)
+    assert leader.cluster.team_use("red").total == (16.0, 0.0)
+    leader.cluster.end_job("run-old")
+    assert leader.cluster.team_use("red").total == (16.0, 0.0)
+    leader.report(leader.names[0])
+    leader.report(leader.names[0])
+    assert leader.cluster.team_use("red").total == (12.0, 0.0), "the four are gone; two, and ten of the other, may run"
+
+
 def test_a_team_at_its_limit_stays_there_when_its_job_is_cancelled_while_nobody_leads() -> None:
     """The same with whole controllers: the halts are held up on their way, the starts elsewhere are not."""
 
