Soak of team limits round changes of leader; attempts of a job in order

Plays of one seed differed, since the attempts of a job stood in a set that goes by memory addresses. Without a catalog, tasks of unknown size counted as nothing. Change: tests/soak (seeded histories: teams at their limits, cancellations round each takeover by any controller, held commands, hung, mute and deaf machines, late reports; counts of what was reached; a long form started by hand); ordered attempts; a machine of unknown type may have any room. The cost of what jobs lately over left is counted at 1,000 and 4,000 machines.

--- a/sorrelsill/placement/test_engine.py
+++ b/sorrelsill/placement/test_engine.py
@@ -81,7 +81,7 @@
     place(cluster)
     machine = at(work)[0]
     assert (
-        cluster.attempts.by_job["run-a"] == set(work.bound.values())
+        set(cluster.attempts.by_job["run-a"]) == set(work.bound.values())
         and machine.live == 4
         and cluster.unaccounted("red") == (0.0, 0.0)
     )
--- a/sorrelsill/workers/attempt_index.py
+++ b/sorrelsill/workers/attempt_index.py
@@ -13,13 +13,15 @@
     """Follows what is entered on machines and leaves them."""
 
     def __init__(self) -> None:
-        self.by_job: dict[str, set[Attempt]] = {}  # exited ones too
+        # In the order in which they were entered, exited ones too. Guards against plays of one seed that differ: a set
+        # goes by where its members lie in memory.
+        self.by_job: dict[str, dict[Attempt, None]] = {}
         self.machines_with_unknown: dict[str, Machine] = {}  # with tasks of jobs that are not known
 
     def enter(self, attempt: Attempt) -> None:
         """An attempt is on a machine, as far as is known."""
         attempt.machine.attempts[attempt.key] = attempt
-        self.by_job.setdefault(attempt.job_id, set()).add(attempt)
+        self.by_job.setdefault(attempt.job_id, {})[attempt] = None
         self.count_unknown(attempt, 1)
 
     def leave(self, attempt: Attempt) -> None:
@@ -27,7 +29,7 @@
         del attempt.machine.attempts[attempt.key]
         mine = self.by_job.get(attempt.job_id)
         if mine is not None:
-            mine.discard(attempt)
+            mine.pop(attempt, None)
             if not mine:
                 del self.by_job[attempt.job_id]
         if not attempt.exited:
@@ -45,14 +47,14 @@
             self.machines_with_unknown.pop(machine.name, None)
             machine.unsized = False
 
-    def of_job(self, job_id: str) -> set[Attempt]:
+    def of_job(self, job_id: str) -> list[Attempt]:
         """All attempts of a job that are on machines, exited ones too."""
-        return self.by_job.get(job_id, set())
+        return list(self.by_job.get(job_id, ()))
 
     def alive(self, job_id: str) -> bool:
         """Whether any attempt of the job may still be on a machine, one too many included."""
-        return any(not attempt.exited for attempt in self.of_job(job_id))
+        return any(not attempt.exited for attempt in self.by_job.get(job_id, ()))
 
     def unrecorded(self, job_id: str) -> list[Attempt]:
         """Exited attempts whose result the next write of the record will hold."""
-        return [a for a in self.of_job(job_id) if a.exited and not a.clearable]
+        return [a for a in self.by_job.get(job_id, ()) if a.exited and not a.clearable]
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -139,7 +139,7 @@
         self.job_changed(spec.job_id)
         if done.count == spec.shards and not spec.endless:
             self.dirty.add(spec.job_id)
-        for attempt in list(self.attempts.of_job(spec.job_id)):
+        for attempt in self.attempts.of_job(spec.job_id):
             if attempt.spec is None and not attempt.exited:
                 self.adopt(attempt, job)
         self.wake_placing = True
@@ -168,7 +168,7 @@
     def add_ended_job(self, spec: JobSpec, done: TaskSet) -> None:
         """A job that was over before this term; its tasks on machines are stopped, and count until they are gone."""
         ended = self.takeover.add_ended_job(spec, done)
-        for attempt in list(self.attempts.of_job(spec.job_id)):
+        for attempt in self.attempts.of_job(spec.job_id):
             if attempt.spec is None and not attempt.exited:
                 self.adopt_ended(attempt, ended)
 
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -195,19 +195,36 @@
     cluster.attempts.enter(attempt)
     if item.phase != "exited":
         job = cluster.jobs.get(job_id)
-        ended = cluster.takeover.ended.get(job_id)
         if job is not None:
             cluster.adopt(attempt, job)
-        elif ended is not None:
-            cluster.adopt_ended(attempt, ended)
         else:
-            # Guards against work that fills the machine and hides what these tasks use: their size is not known, so
-            # the room that is left counts toward every team's limit, and must not be given away before they are gone.
-            machine.unsized = True
-            cluster.order_stop(attempt, "its job is over or not known")
+            _found_ended(cluster, attempt)
     return attempt
 
 
+def _found_ended(cluster: ClusterState, attempt: Attempt) -> None:
+    """The job of an attempt that was found is over, or not known at all."""
+    ended = cluster.takeover.ended.get(attempt.job_id)
+    machine = attempt.machine
+    if log.isEnabledFor(logging.DEBUG):
+        log_event(
+            log,
+            logging.DEBUG,
+            "ended_task_found",
+            task=attempt.task_id,
+            attempt=attempt.attempt_number,
+            machine=machine.name,
+            size_known=ended is not None,
+        )
+    if ended is not None:
+        cluster.adopt_ended(attempt, ended)
+        return
+    # Guards against work that fills the machine and hides what these tasks use: their size is not known, so the room
+    # that is left counts toward every team's limit, and must not be given away before they are gone.
+    machine.unsized = True
+    cluster.order_stop(attempt, "its job is over or not known")
+
+
 def _take_phase(cluster: ClusterState, attempt: Attempt, item: messages.TaskReport, now: float) -> None:
     machine = attempt.machine
     if not attempt.confirmed:
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -128,8 +128,7 @@
             self._unaccounted = self._count_unaccounted(jobs, catalog)
         unseen = self._unaccounted.of(team)
         for machine in unknown:
-            room = Resources(machine.cap_cpus - machine.cpus, machine.cap_gpus - machine.gpus)
-            unseen = unseen.plus(room.at_least(NOTHING))
+            unseen = unseen.plus(_room_left(machine, catalog))
         return unseen
 
     def _count_unaccounted(self, jobs: dict[str, Job], catalog: Catalog) -> _Unaccounted:
@@ -150,5 +149,11 @@
         return _Unaccounted(size, by_team)
 
 
+def _room_left(machine: Machine, catalog: Catalog) -> Resources:
+    if machine.machine_type not in catalog.machine_types:
+        return _ANY_SIZE  # guards against a machine whose size is not known counting as one without room
+    return Resources(machine.cap_cpus - machine.cpus, machine.cap_gpus - machine.gpus).at_least(NOTHING)
+
+
 def _add(by_team: dict[str, Resources], spec: JobSpec, tasks: int) -> None:
     by_team[spec.team] = by_team.get(spec.team, NOTHING).plus(resources_of(spec, tasks))
--- a/sorrelsill/workers/test_cluster_state.py
+++ b/sorrelsill/workers/test_cluster_state.py
@@ -1,7 +1,9 @@
 """Reports in the ledger: which machines may be given work."""
 
+from sorrelsill import constants
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.workers import ClusterState, Machine, Report
+from sorrelsill.workers.messages import TaskReport
 from tests.simulation import count_calls
 
 KIND = MachineType("c8", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("a",))
@@ -121,3 +123,24 @@
     assert count_calls(lambda: cluster.expire_leases(4.5)) < 20, "none is due"
     cluster.expire_leases(5.505)
     assert sum(machine.overdue for machine in cluster.machines.values()) == 51
+
+
+def report_tasks_of_an_unknown_job(cluster: ClusterState, count: int = 2) -> None:
+    tasks = [TaskReport(f"run-gone/{index}", (3 << constants.TRY_BITS) + index, "running") for index in range(count)]
+    cluster.on_report(Report("m1", 1, 3, "c8", "a", "10.0.0.9:9000", False, 7, tasks=tasks), 3.0)
+
+
+def test_tasks_of_unknown_size_on_a_machine_of_unknown_size_may_use_anything() -> None:
+    """Without a catalog its room was 0, and so was what they were counted with."""
+    cluster, machine = ledger_of_one()
+    report_tasks_of_an_unknown_job(cluster)
+    assert cluster.team_use("red").total == (8.0, 0.0) and not machine.usable
+    cluster.set_catalog(Catalog({}))
+    assert cluster.team_use("red").total == (float("inf"), float("inf"))
+
+
+def test_the_attempts_of_a_job_are_told_in_the_order_in_which_they_were_found() -> None:
+    """With a set, plays of one seed differed by what else the process had done before."""
+    cluster, _ = ledger_of_one()
+    report_tasks_of_an_unknown_job(cluster, 200)
+    assert [attempt.index for attempt in cluster.attempts.of_job("run-gone")] == list(range(200))
--- a/tests/scenarios/test_large_fleet.py
+++ b/tests/scenarios/test_large_fleet.py
@@ -10,8 +10,8 @@
 
 from sorrelsill import constants
 from sorrelsill.http import Client, MaySend, NoAnswerError, always
-from sorrelsill.jobs import RecordWriter
-from sorrelsill.settings import StateLimits
+from sorrelsill.jobs import RecordWriter, TaskSet
+from sorrelsill.settings import StateLimits, Team
 from sorrelsill.store import Store, View
 from sorrelsill.workers import CallLimits, Pusher
 from tests.simulation import LOSS_S, OVERDUE_S, FakeNet, FakeStore, LeaderInMemory, array_job, count_calls
@@ -199,6 +199,26 @@
     assert cost(LARGE) <= 1.1 * cost(SMALL)
 
 
+def test_what_jobs_lately_over_left_costs_each_machine_the_same_in_a_large_fleet() -> None:
+    def cost(machines: int) -> float:
+        leader = LeaderInMemory(machines, roster=True, teams=[Team("red", cpus_max=float(machines))])
+        tasks = 2 * MACHINES_PER_JOB
+        for number in range(machines // MACHINES_PER_JOB):
+            leader.cluster.add_ended_job(array_job(f"run-{number}", shards=tasks, owner="red"), TaskSet(tasks))
+        leader.cluster.takeover.set_all_ended_known(True)
+        for number, name in enumerate(leader.names):
+            job_id, index = f"run-{number // MACHINES_PER_JOB}", 2 * (number % MACHINES_PER_JOB)
+            leader.tasks[name] = {(f"{job_id}/{index + more}", 1): "running" for more in (0, 1)}
+        assert leader.cluster.team_use("red").total.cpus == 2.0 * machines, "as many as may be left of these jobs"
+        calls = count_calls(lambda: leader.all_report(leader.names))
+        assert leader.cluster.team_use("red").total.cpus == 2.0 * machines, "all are found, and none is gone yet"
+        leader.all_report(leader.names)
+        assert leader.cluster.team_use("red").total.cpus == 0.0
+        return calls / machines
+
+    assert cost(LARGE) <= 1.1 * cost(SMALL)
+
+
 # --- cold start ---
 
 
--- /dev/null
+++ b/tests/soak/event_counts.py
@@ -0,0 +1,63 @@
+"""Counts structured log lines of the service, to tell whether a history reached the state that it aims at."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from sorrelsill.controller import controller
+from sorrelsill.placement import team_limits
+from sorrelsill.workers import reports
+
+_LOGS = (controller.log, team_limits.log, reports.log)
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One structured line."""
+
+    name: str
+    fields: dict[str, str]
+
+
+class EventCounts(logging.Handler):
+    """The events that were logged, in their order."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.DEBUG)
+        self.events: list[Event] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Take one line."""
+        name, *fields = record.getMessage().split()
+        pairs = (field.partition("=") for field in fields)
+        self.events.append(Event(name, {key: value for key, _, value in pairs}))
+
+    def count(self, name: str) -> int:
+        """How often an event was logged."""
+        return sum(1 for event in self.events if event.name == name)
+
+    def unaccounted_cpus(self) -> float:
+        """CPUs that limited teams may have used unseen, summed over the takeovers."""
+        at_takeovers = [event.fields for event in self.events if event.name == "team_use"]
+        return sum(float(fields["unaccounted_cpus"]) for fields in at_takeovers if float(fields["limit_cpus"]))
+
+
+@contextmanager
+def counted_events() -> Iterator[EventCounts]:
+    """Count what the leader logs of limits, takeovers and halts."""
+    counts = EventCounts()
+    before = [(log, log.level, log.propagate) for log in _LOGS]
+    for log in _LOGS:
+        log.addHandler(counts)
+        log.setLevel(logging.DEBUG)
+        log.propagate = False
+    try:
+        yield counts
+    finally:
+        for log, level, propagate in before:
+            log.removeHandler(counts)
+            log.setLevel(level)
+            log.propagate = propagate
--- /dev/null
+++ b/tests/soak/test_takeover_soak.py
@@ -0,0 +1,16 @@
+"""A seeded soak of teams at their limits round changes of leader. The long form: `python -m tests.soak.long_run`."""
+
+import pytest
+
+from tests.soak.takeover_soak import play
+
+# The last two broke `quota` before jobs lately over kept their spec until their tasks were proved gone.
+SEEDS = (1, 2, 3, 4, 5, 6, 7, 8, 11, 34)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_limits_hold_round_changes_of_leader(seed: int) -> None:
+    reached = play(seed)
+    print(reached)
+    assert not reached.broken, reached
+    assert reached.aim, f"the state that is meant was never reached: {reached}"
