Adoption of found tasks, attempts' log lines and kinds of machines in parts of their own

Change: workers/adoption.py, workers/attempt_events.py, MachineKind with may_hold; one name for the cluster state. No behaviour.

--- a/sorrelsill/fleet/rentals.py
+++ b/sorrelsill/fleet/rentals.py
@@ -1,4 +1,4 @@
-"""What to rent and what to return: pure decisions, given the ledger, the demand and the time."""
+"""What to rent and what to return: pure decisions, given the cluster state, the demand and the time."""
 
 from __future__ import annotations
 
--- a/sorrelsill/placement/test_engine.py
+++ b/sorrelsill/placement/test_engine.py
@@ -1,4 +1,4 @@
-"""Which machine and which job first, on a ledger alone."""
+"""Which machine and which job first, on a cluster state alone."""
 
 import random
 
@@ -15,7 +15,7 @@
 AIMS = [Objective("wait", "live", 1.0), Objective("finished", "w", 60.0)]
 
 
-def ledger_with(*machines: tuple[str, str, bool]) -> ClusterState:
+def cluster_with(*machines: tuple[str, str, bool]) -> ClusterState:
     cluster = ClusterState(1, 0.0, Catalog({"c8": KIND}), 11.5, 2.7)
     for name, zone, spot in machines:
         machine = cluster.machine(name, "c8", zone, spot, 0.0)
@@ -40,14 +40,14 @@
 
 def test_where_time_counts_spot_machines_are_used_last_and_where_money_counts_first() -> None:
     for hurried in (True, False):
-        cluster = ledger_with(("m1", "a", True), ("m2", "a", False))
+        cluster = cluster_with(("m1", "a", True), ("m2", "a", False))
         low = add(cluster, "run-1", shards=2, reclaimable=True)
         place(cluster, hurried=hurried)
         assert {h.spot for h in at(low)} == {not hurried}
 
 
 def test_the_least_work_goes_first_so_that_a_burst_does_not_make_all_late() -> None:
-    cluster = ledger_with(("m1", "a", False))
+    cluster = cluster_with(("m1", "a", False))
     large = add(cluster, "run-large", submitted=0.0, shards=50)
     small = add(cluster, "run-small", submitted=0.5, shards=3)
     place(cluster)
@@ -56,18 +56,18 @@
 
 def test_replicas_of_a_prompt_service_go_to_many_machines_and_tasks_that_end_share_a_fetch() -> None:
     machines = [(f"m{n}", "ab"[n % 2], False) for n in range(8)]
-    cluster = ledger_with(*machines)
+    cluster = cluster_with(*machines)
     service = add(cluster, "run-s", shape="standing", rank="prod", workload="live", shards=6, scatter=True)
     place(cluster)
     assert len({h.name for h in at(service)}) == 6
-    cluster = ledger_with(*machines)
+    cluster = cluster_with(*machines)
     array = add(cluster, "run-a", shards=4)
     place(cluster)
     assert len({h.name for h in at(array)}) == 1
 
 
 def test_a_machine_that_has_not_shown_that_it_hears_gets_no_work() -> None:
-    cluster = ledger_with(("m1", "a", False))
+    cluster = cluster_with(("m1", "a", False))
     cluster.machines["m1"].reachable = False
     waiting = add(cluster, "run-a")
     placer = place(cluster)
@@ -76,7 +76,7 @@
 
 def test_the_indices_agree_with_what_is_on_the_machines() -> None:
     """What tasks of jobs that are over take is counted toward every team until they are gone, whoever adopts them."""
-    cluster = ledger_with(("m1", "a", False), ("m2", "b", False))
+    cluster = cluster_with(("m1", "a", False), ("m2", "b", False))
     work = add(cluster, "run-a", shards=4)
     place(cluster)
     machine = at(work)[0]
@@ -97,7 +97,7 @@
 
 def test_the_index_of_machines_that_may_be_given_work_follows_them() -> None:
     """Placing no longer asks all machines in each round, so what it asks has to be right."""
-    cluster = ledger_with(("m1", "a", False), ("m2", "b", False))
+    cluster = cluster_with(("m1", "a", False), ("m2", "b", False))
     work = add(cluster, "run-a", shards=4)
     place(cluster)
     full, other = at(work)[0].name, {"m1": "m2", "m2": "m1"}[at(work)[0].name]
@@ -115,7 +115,7 @@
 
 @pytest.mark.parametrize("condition", ["synced", "reachable", "rostered"])
 def test_a_condition_that_fails_takes_the_machine_out_of_the_indices_at_once(condition: str) -> None:
-    cluster = ledger_with(("m1", "a", False))
+    cluster = cluster_with(("m1", "a", False))
     setattr(cluster.machines["m1"], condition, False)
     assert not cluster.index.ready and not cluster.index.free
     setattr(cluster.machines["m1"], condition, True)
@@ -124,7 +124,7 @@
 
 @pytest.mark.parametrize("trouble", ["lost", "overdue", "draining", "returning", "faulty"])
 def test_a_trouble_takes_the_machine_out_of_the_indices_at_once(trouble: str) -> None:
-    cluster = ledger_with(("m1", "a", False))
+    cluster = cluster_with(("m1", "a", False))
     setattr(cluster.machines["m1"], trouble, True)
     assert not cluster.index.ready and not cluster.index.free
     setattr(cluster.machines["m1"], trouble, False)
@@ -132,7 +132,7 @@
 
 
 def test_a_machine_that_is_to_be_taken_back_or_has_grown_is_indexed_anew() -> None:
-    cluster = ledger_with(("m1", "a", False), ("m2", "a", False))
+    cluster = cluster_with(("m1", "a", False), ("m2", "a", False))
     cluster.machines["m1"].evict_at = 30.0
     assert cluster.index.ready.names() == {"m2"}
     spec = parse_spec(job("run-a", vcpus=12.0))
@@ -146,7 +146,7 @@
     places one small job, ask only the machines they sample."""
 
     def calls(machines: int, work: int) -> int:
-        cluster = ledger_with(*((f"m{n}", "ab"[n % 2], False) for n in range(machines)))
+        cluster = cluster_with(*((f"m{n}", "ab"[n % 2], False) for n in range(machines)))
         for number in range(work):
             add(cluster, f"run-{number}")
         placer = Placer([Team("red")], AIMS, random.Random(1), 24, False)
--- a/sorrelsill/store/test_view.py
+++ b/sorrelsill/store/test_view.py
@@ -32,7 +32,7 @@
 
 def test_a_late_answer_does_not_bring_back_what_was_removed_meanwhile() -> None:
     """Found on a measured day: the leader's own record of a job was answered only after the job's cancellation had
-    been followed; the job came back to life in the leader's ledger and its tasks ran on."""
+    been followed; the job came back to life in the leader's cluster state and its tasks ran on."""
 
     async def tell(view: View, fake: FakeStore) -> None:
         key, heard = job_key("run-1"), []
--- /dev/null
+++ b/sorrelsill/workers/adoption.py
@@ -0,0 +1,75 @@
+"""Tasks that an earlier leader started and that are found on their machines. Pure."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sorrelsill import constants
+from sorrelsill.workers.attempt_events import log_attempt
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.attempt import Attempt
+    from sorrelsill.workers.cluster_state import ClusterState
+    from sorrelsill.workers.ended_jobs import EndedJob
+    from sorrelsill.workers.job import Job
+
+log = logging.getLogger(__name__)
+
+
+def adopt_found(cluster: ClusterState, attempt: Attempt) -> None:
+    """Take over an attempt that was found running: for its job, or to be stopped if that is over or not known."""
+    job = cluster.jobs.get(attempt.job_id)
+    if job is not None:
+        adopt(cluster, attempt, job)
+        return
+    ended = cluster.takeover.ended.get(attempt.job_id)
+    log_attempt(log, "ended_task_found", attempt, size_known=ended is not None)
+    if ended is not None:
+        adopt_ended(cluster, attempt, ended)
+        return
+    # Guards against work that fills the machine and hides what these tasks use: their size is not known, so the room
+    # that is left counts toward every team's limit, and must not be given away before they are gone.
+    attempt.machine.unsized = True
+    cluster.order_stop(attempt, "its job is over or not known")
+
+
+def adopt(cluster: ClusterState, attempt: Attempt, job: Job) -> None:
+    """A task of a live job. If it is one too many, it is stopped."""
+    machine = attempt.machine
+    _take_room(cluster, attempt, job)
+    known = job.bound.get(attempt.index)
+    keep = 0 <= attempt.index < job.spec.shards and attempt.index not in job.done
+    if keep and known is not None:
+        # The later attempt was only made once the earlier one was proved gone. So the earlier is a phantom out of a
+        # late copy of a report, and must not cost the true one its place.
+        keep = (
+            attempt.attempt_number > known.attempt_number and known.attempt_number >> constants.TRY_BITS < cluster.term
+        )
+        if keep:
+            job.zones[known.machine.zone] = job.zones.get(known.machine.zone, 1) - 1
+            cluster.order_stop(known, "a later attempt was found")
+    attempt.stop = False
+    if not keep:
+        cluster.order_stop(attempt, "one too many")
+        return
+    job.bound[attempt.index] = attempt
+    job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+    cluster.job_changed(attempt.job_id)
+    cluster.dirty.add(attempt.job_id)
+
+
+def adopt_ended(cluster: ClusterState, attempt: Attempt, ended: EndedJob) -> None:
+    """A task of a job that is over. It takes room and counts toward its team's limit like any other, until it is proved
+    gone."""
+    _take_room(cluster, attempt, ended)
+    ended.found(attempt.index)
+    cluster.takeover.recount()
+    cluster.order_stop(attempt, "its job is over")
+
+
+def _take_room(cluster: ClusterState, attempt: Attempt, job: Job | EndedJob) -> None:
+    """From now on its size is known."""
+    cluster.attempts.count_unknown(attempt, -1)
+    attempt.spec = job.spec
+    cluster.take_room(attempt)
--- /dev/null
+++ b/sorrelsill/workers/attempt_events.py
@@ -0,0 +1,25 @@
+"""Structured log lines about attempts, with the same fields everywhere."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sorrelsill.events import log_event
+
+if TYPE_CHECKING:
+    from sorrelsill.workers.attempt import Attempt
+
+
+def log_attempt(log: logging.Logger, event: str, attempt: Attempt, /, **fields: object) -> None:
+    """Log at DEBUG what happens to an attempt."""
+    if log.isEnabledFor(logging.DEBUG):
+        log_event(
+            log,
+            logging.DEBUG,
+            event,
+            task=attempt.task_id,
+            attempt=attempt.attempt_number,
+            machine=attempt.machine.name,
+            **fields,
+        )
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -19,10 +19,10 @@
 from sorrelsill.fleet import Catalog, MachineType
 from sorrelsill.jobs import JobSpec, TaskSet
 from sorrelsill.timers import Timers
-from sorrelsill.workers import loss, messages, reports, stopping
+from sorrelsill.workers import adoption, loss, messages, reports, stopping
 from sorrelsill.workers.attempt import Attempt
+from sorrelsill.workers.attempt_events import log_attempt
 from sorrelsill.workers.attempt_index import AttemptIndex
-from sorrelsill.workers.ended_jobs import EndedJob
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.machine_index import MachineIndex
@@ -141,7 +141,7 @@
             self.dirty.add(spec.job_id)
         for attempt in self.attempts.of_job(spec.job_id):
             if attempt.spec is None and not attempt.exited:
-                self.adopt(attempt, job)
+                adoption.adopt(self, attempt, job)
         self.wake_placing = True
         return job
 
@@ -170,7 +170,7 @@
         ended = self.takeover.add_ended_job(spec, done)
         for attempt in self.attempts.of_job(spec.job_id):
             if attempt.spec is None and not attempt.exited:
-                self.adopt_ended(attempt, ended)
+                adoption.adopt_ended(self, attempt, ended)
 
     def job_changed(self, job_id: str) -> None:
         """Called wherever a job comes or ends, or what is done or bound of it changes."""
@@ -190,7 +190,7 @@
         return (self.term << constants.TRY_BITS) + self._attempts_made
 
     def bind(self, job: Job, index: int, machine: Machine, now: float, attempt_number: int | None = None) -> Attempt:
-        """`try_no` is given for gangs, whose tasks find each other by a common attempt number."""
+        """Bind a task to a machine; a group's tasks are given the attempt number by which they find each other."""
         attempt = Attempt(job.spec.job_id, index, attempt_number or self.next_attempt_number(), machine, job.spec, now)
         attempt.located = True
         self._attach(attempt, job)
@@ -201,30 +201,27 @@
         self.job_changed(job.spec.job_id)
         if job.spec.image not in machine.images:
             machine.fetching.add(job.spec.image)
-        if log.isEnabledFor(logging.DEBUG):
-            log_event(
-                log,
-                logging.DEBUG,
-                "bind",
-                task=attempt.task_id,
-                attempt=attempt.attempt_number,
-                machine=machine.name,
-                waited_s=now - job.submitted,
-                image_there=job.spec.image in machine.images,
-                old=job.old,
-            )
+        log_attempt(
+            log,
+            "bind",
+            attempt,
+            waited_s=now - job.submitted,
+            image_there=job.spec.image in machine.images,
+            old=job.old,
+        )
         return attempt
 
     def _attach(self, attempt: Attempt, job: Job) -> None:
         """Take room, limits and zones into account; `attempt.spec` is set already."""
         self.attempts.enter(attempt)
-        self._take_room(attempt)
+        self.take_room(attempt)
         if attempt.index not in job.bound:
             job.bound[attempt.index] = attempt
             job.zones[attempt.machine.zone] = job.zones.get(attempt.machine.zone, 0) + 1
             self.job_changed(attempt.job_id)
 
-    def _take_room(self, attempt: Attempt) -> None:
+    def take_room(self, attempt: Attempt) -> None:
+        """Count an attempt whose size is known, on its machine and for its team."""
         machine, spec = attempt.machine, attempt.spec
         assert spec is not None
         machine.live += 1
@@ -234,42 +231,6 @@
         self.bound_usage.take(spec)
         self.index.room_changed(machine)
 
-    def adopt(self, attempt: Attempt, job: Job) -> None:
-        """A task that an earlier leader started and that is on its machine. If it is one too many, it is stopped."""
-        machine = attempt.machine
-        self.attempts.count_unknown(attempt, -1)
-        attempt.spec = job.spec
-        self._take_room(attempt)
-        known = job.bound.get(attempt.index)
-        keep = 0 <= attempt.index < job.spec.shards and attempt.index not in job.done
-        if keep and known is not None:
-            # The later attempt was only made once the earlier one was proved gone. So the earlier is a phantom out
-            # of a late copy of a report, and must not cost the true one its place.
-            keep = (
-                attempt.attempt_number > known.attempt_number and known.attempt_number >> constants.TRY_BITS < self.term
-            )
-            if keep:
-                job.zones[known.machine.zone] = job.zones.get(known.machine.zone, 1) - 1
-                self.order_stop(known, "a later attempt was found")
-        attempt.stop = False
-        if keep:
-            job.bound[attempt.index] = attempt
-            job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
-            self.job_changed(attempt.job_id)
-            self.dirty.add(job.spec.job_id)
-        else:
-            self.order_stop(attempt, "one too many")
-
-    def adopt_ended(self, attempt: Attempt, ended: EndedJob) -> None:
-        """A task of a job that is over, started by an earlier leader. It takes room and counts toward its team's limit
-        like any other, until it is proved gone."""
-        self.attempts.count_unknown(attempt, -1)
-        attempt.spec = ended.spec
-        self._take_room(attempt)
-        ended.found(attempt.index)
-        self.takeover.recount()
-        self.order_stop(attempt, "its job is over")
-
     def unbind(self, attempt: Attempt, now: float, requeue: bool = True) -> None:
         """The attempt is proved gone: give back what it held."""
         machine, spec = attempt.machine, attempt.spec
--- a/sorrelsill/workers/groups.py
+++ b/sorrelsill/workers/groups.py
@@ -1,9 +1,9 @@
-"""Groups: jobs whose tasks run together or not at all. Pure decisions on the leader's ledger.
+"""Groups: jobs whose tasks run together or not at all. Pure decisions on the leader's cluster state.
 
 All tasks of one start share an attempt number, and no number is used for a second start: where a task is missing
 the rest are stopped, and the whole starts anew once every task of the attempt is proved gone. The protocol would let a
 replacement of the same number complete a group that has not begun; that number would then stand on two machines, and
-the proofs of the ledger rest on it standing on one. What a new start costs instead is measured in docs/results.md."""
+the proofs of the cluster state rest on it standing on one. What a new start costs is measured in docs/results.md."""
 
 from __future__ import annotations
 
--- a/sorrelsill/workers/reports.py
+++ b/sorrelsill/workers/reports.py
@@ -9,9 +9,10 @@
 from typing import TYPE_CHECKING, Any
 
 from sorrelsill import constants
-from sorrelsill.events import log_event
 from sorrelsill.workers import messages
+from sorrelsill.workers.adoption import adopt_found
 from sorrelsill.workers.attempt import Attempt
+from sorrelsill.workers.attempt_events import log_attempt
 from sorrelsill.workers.commands import commands
 
 if TYPE_CHECKING:
@@ -194,37 +195,10 @@
         return None
     cluster.attempts.enter(attempt)
     if item.phase != "exited":
-        job = cluster.jobs.get(job_id)
-        if job is not None:
-            cluster.adopt(attempt, job)
-        else:
-            _found_ended(cluster, attempt)
+        adopt_found(cluster, attempt)
     return attempt
 
 
-def _found_ended(cluster: ClusterState, attempt: Attempt) -> None:
-    """The job of an attempt that was found is over, or not known at all."""
-    ended = cluster.takeover.ended.get(attempt.job_id)
-    machine = attempt.machine
-    if log.isEnabledFor(logging.DEBUG):
-        log_event(
-            log,
-            logging.DEBUG,
-            "ended_task_found",
-            task=attempt.task_id,
-            attempt=attempt.attempt_number,
-            machine=machine.name,
-            size_known=ended is not None,
-        )
-    if ended is not None:
-        cluster.adopt_ended(attempt, ended)
-        return
-    # Guards against work that fills the machine and hides what these tasks use: their size is not known, so the room
-    # that is left counts toward every team's limit, and must not be given away before they are gone.
-    machine.unsized = True
-    cluster.order_stop(attempt, "its job is over or not known")
-
-
 def _take_phase(cluster: ClusterState, attempt: Attempt, item: messages.TaskReport, now: float) -> None:
     machine = attempt.machine
     if not attempt.confirmed:
@@ -241,16 +215,7 @@
         cluster.index.hold_image(machine, attempt.spec)  # it has its image, and waits for the rest of its group
     if item.phase == "running" and attempt.running_since is None:
         attempt.running_since = now
-        if log.isEnabledFor(logging.DEBUG):
-            log_event(
-                log,
-                logging.DEBUG,
-                "runs",
-                task=attempt.task_id,
-                attempt=attempt.attempt_number,
-                machine=machine.name,
-                after_bind_s=now - attempt.created,
-            )
+        log_attempt(log, "runs", attempt, after_bind_s=now - attempt.created)
         if attempt.spec is not None:
             cluster.index.hold_image(machine, attempt.spec)
             cluster.dirty.add(attempt.job_id)
--- a/sorrelsill/workers/stopping.py
+++ b/sorrelsill/workers/stopping.py
@@ -5,8 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
-from sorrelsill.events import log_event
 from sorrelsill.workers import groups
+from sorrelsill.workers.attempt_events import log_attempt
 
 if TYPE_CHECKING:
     from sorrelsill.workers.attempt import Attempt
@@ -42,14 +42,4 @@
     attempt.stop = True
     attempt.stop_reason = reason
     cluster.machines_with_pending_commands[attempt.machine.name] = attempt.machine
-    if log.isEnabledFor(logging.DEBUG):
-        log_event(
-            log,
-            logging.DEBUG,
-            "halt",
-            task=attempt.task_id,
-            attempt=attempt.attempt_number,
-            machine=attempt.machine.name,
-            reason=reason,
-            wind_down_s=attempt.wind_down,
-        )
+    log_attempt(log, "halt", attempt, reason=reason, wind_down_s=attempt.wind_down)
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from sorrelsill.fleet import Catalog
 from sorrelsill.jobs import JobSpec, RosterEntry, TaskSet
@@ -16,22 +16,23 @@
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.team_usage import NOTHING, Resources, resources_of
 
-MachineKind = tuple[str, str | None, bool]  # type, zone (None: not known), whether it is certainly a spot machine
-
 _ANY_SIZE = Resources(float("inf"), float("inf"))
 
 
-def _may_hold(sort: MachineKind, spec: JobSpec) -> bool:
-    machine_type, zone, spot = sort
-    if (
-        spec.machine_types is not None
-        and machine_type
-        and machine_type not in spec.machine_types
-        or spot
-        and not spec.spot
-    ):
-        return False
-    return spec.zone is None or zone is None or zone == spec.zone
+class MachineKind(NamedTuple):
+    """What a registry entry tells of a machine."""
+
+    machine_type: str
+    zone: str | None  # None: not known
+    spot: bool  # whether it is certainly a spot machine
+
+    def may_hold(self, spec: JobSpec) -> bool:
+        """Whether a task of the job may run on such a machine."""
+        if self.spot and not spec.spot:
+            return False
+        if self.machine_type and spec.machine_types is not None and self.machine_type not in spec.machine_types:
+            return False
+        return spec.zone is None or self.zone is None or self.zone == spec.zone
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,13 +68,13 @@
         for name, value in roster:
             entry = RosterEntry.from_stored(value)
             # An entry of an earlier version lacks zone and kind: the machine may be any.
-            sort = entry.machine_type, entry.zone, entry.spot
+            kind = MachineKind(entry.machine_type, entry.zone, entry.spot)
             if name in self.unconfirmed:
                 # It stands in two parts of the roster. Found by reading: counted twice and heard once, it would have
                 # held back every older job that it may hold for the whole term.
                 self.confirm(name)
-            self.unconfirmed[name] = sort
-            self._unconfirmed_kinds[sort] = self._unconfirmed_kinds.get(sort, 0) + 1
+            self.unconfirmed[name] = kind
+            self._unconfirmed_kinds[kind] = self._unconfirmed_kinds.get(kind, 0) + 1
             self.unconfirmed_addresses[name] = entry.addr
         self._unaccounted = None
 
@@ -96,12 +97,12 @@
 
     def confirm(self, name: str) -> bool:
         """The machine was heard with the new token, or holds nothing any more. False if it was confirmed before."""
-        sort = self.unconfirmed.pop(name, None)
-        if sort is None:
+        kind = self.unconfirmed.pop(name, None)
+        if kind is None:
             return False
-        self._unconfirmed_kinds[sort] -= 1
-        if not self._unconfirmed_kinds[sort]:
-            del self._unconfirmed_kinds[sort]
+        self._unconfirmed_kinds[kind] -= 1
+        if not self._unconfirmed_kinds[kind]:
+            del self._unconfirmed_kinds[kind]
         self._unaccounted = None
         return True
 
@@ -112,7 +113,7 @@
 
     def _may_be_unheard(self, spec: JobSpec) -> bool:
         """Whether a machine that is not heard may hold tasks of the job."""
-        return any(_may_hold(sort, spec) for sort in self._unconfirmed_kinds)
+        return any(kind.may_hold(spec) for kind in self._unconfirmed_kinds)
 
     def unaccounted(self, team: str, jobs: dict[str, Job], catalog: Catalog, unknown: Iterable[Machine]) -> Resources:
         """What tasks of a team may be using unseen, which count toward its limit.
@@ -133,10 +134,8 @@
 
     def _count_unaccounted(self, jobs: dict[str, Job], catalog: Catalog) -> _Unaccounted:
         size = NOTHING
-        for (machine_type, _, _), count in self._unconfirmed_kinds.items():
-            kind = catalog.machine_types.get(machine_type)
-            # A type that is not known may be of any size.
-            size = size.plus(Resources(kind.cpus * count, kind.gpus * count) if kind is not None else _ANY_SIZE)
+        for kind, count in self._unconfirmed_kinds.items():
+            size = size.plus(_size_of(kind.machine_type, count, catalog))
         if not self._all_ended_known or not self.unconfirmed:
             return _Unaccounted(size, None)
         by_team: dict[str, Resources] = {}
@@ -149,6 +148,13 @@
         return _Unaccounted(size, by_team)
 
 
+def _size_of(machine_type: str, count: int, catalog: Catalog) -> Resources:
+    known = catalog.machine_types.get(machine_type)
+    if known is None:
+        return _ANY_SIZE  # a type that is not known may be of any size
+    return Resources(known.cpus * count, known.gpus * count)
+
+
 def _room_left(machine: Machine, catalog: Catalog) -> Resources:
     if machine.machine_type not in catalog.machine_types:
         return _ANY_SIZE  # guards against a machine whose size is not known counting as one without room
--- a/sorrelsill/workers/test_cluster_state.py
+++ b/sorrelsill/workers/test_cluster_state.py
@@ -1,4 +1,4 @@
-"""Reports in the ledger: which machines may be given work."""
+"""Reports in the cluster state: which machines may be given work."""
 
 from sorrelsill import constants
 from sorrelsill.fleet import Catalog, MachineType
@@ -9,7 +9,7 @@
 KIND = MachineType("c8", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("a",))
 
 
-def ledger_of_one() -> tuple[ClusterState, Machine]:
+def cluster_of_one() -> tuple[ClusterState, Machine]:
     cluster = ClusterState(7, 0.0, Catalog({"c8": KIND}), 11.5, 2.7)
     for sequence_number, epoch in ((1, 0), (2, 7)):
         report(cluster, sequence_number, float(sequence_number), epoch=epoch)
@@ -24,14 +24,14 @@
 
 def test_a_report_out_of_step_does_not_make_a_machine_stand_aside() -> None:
     """Found on a measured day: at each crossing of a report with a direct answer it got no work for an interval."""
-    cluster, machine = ledger_of_one()
+    cluster, machine = cluster_of_one()
     assert machine.usable
     report(cluster, 9, 3.0)
     assert machine.usable
 
 
 def test_a_machine_that_never_follows_on_our_answers_stands_aside() -> None:
-    cluster, machine = ledger_of_one()
+    cluster, machine = cluster_of_one()
     for turn in range(1, 4):  # it goes from one controller to the next, and comes by again
         report(cluster, 2 + 3 * turn, 2.0 + 5.0 * turn)
     assert not machine.usable
@@ -41,7 +41,7 @@
 
 def test_a_new_session_gets_work_once_it_has_shown_that_it_hears() -> None:
     """Our token may be known to it from the session before, so showing that proves nothing."""
-    cluster, machine = ledger_of_one()
+    cluster, machine = cluster_of_one()
     report(cluster, 3, 14.0, session=2)
     assert not machine.usable
     report(cluster, 4, 15.0, session=2)
@@ -106,7 +106,7 @@
 
 def test_a_machine_that_is_gone_is_not_declared_lost_when_its_timer_is_up() -> None:
     """Found by the simulation's check of the indices: it came back into them, and its name was released anew."""
-    cluster, _ = ledger_of_one()
+    cluster, _ = cluster_of_one()
     cluster.gone_for_certain("m1", 3.0, "machine returned")
     cluster.gone.clear()
     assert not cluster.expire_leases(60.0) and not cluster.gone
@@ -132,7 +132,7 @@
 
 def test_tasks_of_unknown_size_on_a_machine_of_unknown_size_may_use_anything() -> None:
     """Without a catalog its room was 0, and so was what they were counted with."""
-    cluster, machine = ledger_of_one()
+    cluster, machine = cluster_of_one()
     report_tasks_of_an_unknown_job(cluster)
     assert cluster.team_use("red").total == (8.0, 0.0) and not machine.usable
     cluster.set_catalog(Catalog({}))
@@ -141,6 +141,6 @@
 
 def test_the_attempts_of_a_job_are_told_in_the_order_in_which_they_were_found() -> None:
     """With a set, plays of one seed differed by what else the process had done before."""
-    cluster, _ = ledger_of_one()
+    cluster, _ = cluster_of_one()
     report_tasks_of_an_unknown_job(cluster, 200)
     assert [attempt.index for attempt in cluster.attempts.of_job("run-gone")] == list(range(200))
--- a/tests/scenarios/test_grown.py
+++ b/tests/scenarios/test_grown.py
@@ -11,7 +11,7 @@
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 
 
-def ledger_of(node: Controller) -> ClusterState:
+def cluster_of(node: Controller) -> ClusterState:
     assert node.cluster is not None
     return node.cluster
 
@@ -93,7 +93,7 @@
         await simulation.until(lambda: len([1 for _, h in simulation.running("run-s") if h != name]) == 4, 60)
         assert trio.current_time() - began < 35
         leader = await simulation.until_leader()
-        assert not ledger_of(simulation.nodes[leader]).takeover.unconfirmed
+        assert not cluster_of(simulation.nodes[leader]).takeover.unconfirmed
 
     run_scenario(scenario, teams=[Team("red", cpus_max=10.0)])
 
@@ -120,7 +120,7 @@
         for item in last.values():
             reply = await copy(simulation, leader, item)
             assert reply.status != 200
-        assert not ledger_of(simulation.nodes[leader]).machines
+        assert not cluster_of(simulation.nodes[leader]).machines
 
     run_scenario(scenario)
 
@@ -196,7 +196,7 @@
         await simulation.until(lambda: len(simulation.running("run-0")) == 1)
         leader = simulation.nodes[await simulation.until_leader()]
         name = simulation.running("run-0")[0][1]
-        cluster, worker = ledger_of(leader), simulation.workers[name]
+        cluster, worker = cluster_of(leader), simulation.workers[name]
         machine = cluster.machines[name]
         now = trio.current_time()
         attempt = cluster.bind(cluster.jobs["run-0"], 0, machine, now, 1 << 60)
--- a/tests/soak/event_counts.py
+++ b/tests/soak/event_counts.py
@@ -9,9 +9,9 @@
 
 from sorrelsill.controller import controller
 from sorrelsill.placement import team_limits
-from sorrelsill.workers import reports
+from sorrelsill.workers import adoption
 
-_LOGS = (controller.log, team_limits.log, reports.log)
+_LOGS = (controller.log, team_limits.log, adoption.log)
 
 
 @dataclass(frozen=True, slots=True)
