--- a/sorrelsill/placement/team_limits.py
+++ b/sorrelsill/placement/team_limits.py
@@ -8,7 +8,7 @@
 from sorrelsill.events import log_event
 from sorrelsill.jobs import JobSpec
 from sorrelsill.settings import Team
-from sorrelsill.workers import ClusterState, resources_of
+from sorrelsill.workers import ClusterState, TeamUse
 
 log = logging.getLogger(__name__)
 
@@ -31,33 +31,38 @@
         if not team.cpus_max and not team.gpus_max:
             return True
         use = cluster.team_use(spec.team)
-        asked = resources_of(spec, tasks)
-        wanted = use.total.plus(asked)
-        allowed = (not team.cpus_max or wanted.cpus <= team.cpus_max + constants.AMOUNT_TOLERANCE) and (
-            not team.gpus_max or wanted.gpus <= team.gpus_max + constants.AMOUNT_TOLERANCE
+        # Asked thousands of times a second while teams are at their limits: plain sums, no amounts made on the way.
+        cpus = use.bound.cpus + use.unaccounted.cpus + spec.cpus * tasks
+        gpus = use.bound.gpus + use.unaccounted.gpus + spec.gpus * tasks
+        allowed = (not team.cpus_max or cpus <= team.cpus_max + constants.AMOUNT_TOLERANCE) and (
+            not team.gpus_max or gpus <= team.gpus_max + constants.AMOUNT_TOLERANCE
         )
         if not allowed:
             cluster.starts_refused += 1
         if log.isEnabledFor(logging.DEBUG):
-            log_event(
-                log,
-                logging.DEBUG,
-                "start_allowed" if allowed else "start_refused",
-                job=spec.job_id,
-                team=spec.team,
-                asked_cpus=asked.cpus,
-                bound_cpus=use.bound.cpus,
-                unaccounted_cpus=use.unaccounted.cpus,
-                limit_cpus=team.cpus_max,
-                asked_gpus=asked.gpus,
-                bound_gpus=use.bound.gpus,
-                unaccounted_gpus=use.unaccounted.gpus,
-                limit_gpus=team.gpus_max,
-                unconfirmed=len(cluster.takeover.unconfirmed),
-            )
+            _log_judgement(cluster, spec, tasks, team, use, allowed)
         return allowed
 
     def is_guest(self, name: str) -> bool:
         """Guests are teams without a guarantee: they run on what nobody else needs."""
         team = self._teams.get(name)
         return team is not None and not team.cpus and not team.gpus
+
+
+def _log_judgement(cluster: ClusterState, spec: JobSpec, tasks: int, team: Team, use: TeamUse, allowed: bool) -> None:
+    log_event(
+        log,
+        logging.DEBUG,
+        "start_allowed" if allowed else "start_refused",
+        job=spec.job_id,
+        team=spec.team,
+        asked_cpus=spec.cpus * tasks,
+        bound_cpus=use.bound.cpus,
+        unaccounted_cpus=use.unaccounted.cpus,
+        limit_cpus=team.cpus_max,
+        asked_gpus=spec.gpus * tasks,
+        bound_gpus=use.bound.gpus,
+        unaccounted_gpus=use.unaccounted.gpus,
+        limit_gpus=team.gpus_max,
+        unconfirmed=len(cluster.takeover.unconfirmed),
+    )
--- a/sorrelsill/workers/__init__.py
+++ b/sorrelsill/workers/__init__.py
@@ -11,7 +11,7 @@
 from sorrelsill.workers.messages import InvalidReportError, Report, parse_report, stop_command
 from sorrelsill.workers.push import CallLimits, Pusher
 from sorrelsill.workers.reports import SupersededError
-from sorrelsill.workers.team_usage import Resources, TeamUse, resources_of
+from sorrelsill.workers.team_usage import Resources, TeamUse
 
 __all__ = [
     "Attempt",
@@ -28,7 +28,6 @@
     "Resources",
     "SupersededError",
     "TeamUse",
-    "resources_of",
     "group_loss",
     "stop_command",
     "parse_report",
--- a/sorrelsill/workers/takeover.py
+++ b/sorrelsill/workers/takeover.py
@@ -39,13 +39,11 @@
 class _Unaccounted:
     """What may be in use on machines that are not heard."""
 
-    size: Resources  # all that they have
-    by_team: dict[str, Resources] | None  # what tasks of each team may take; None if that is not known
+    by_team: dict[str, Resources]  # by tasks of each team
+    others: Resources  # by tasks of any other team
 
     def of(self, team: str) -> Resources:
-        if self.by_team is None:
-            return self.size
-        return self.size.at_most(self.by_team.get(team, NOTHING))
+        return self.by_team.get(team, self.others)
 
 
 class TakeoverAccounting:
@@ -137,7 +135,7 @@
         for kind, count in self._unconfirmed_kinds.items():
             size = size.plus(_size_of(kind.machine_type, count, catalog))
         if not self._all_ended_known or not self.unconfirmed:
-            return _Unaccounted(size, None)
+            return _Unaccounted({}, size)
         by_team: dict[str, Resources] = {}
         for ended in self.ended.values():
             if self._may_be_unheard(ended.spec):
@@ -145,7 +143,7 @@
         for job in jobs.values():
             if not self.settled(job):
                 _add(by_team, job.spec, job.unknown)
-        return _Unaccounted(size, by_team)
+        return _Unaccounted({team: amount.at_most(size) for team, amount in by_team.items()}, NOTHING)
 
 
 def _size_of(machine_type: str, count: int, catalog: Catalog) -> Resources:
--- a/sorrelsill/workers/team_usage.py
+++ b/sorrelsill/workers/team_usage.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -36,8 +35,7 @@
     return Resources(spec.cpus * tasks, spec.gpus * tasks)
 
 
-@dataclass(frozen=True, slots=True)
-class TeamUse:
+class TeamUse(NamedTuple):
     """What a team may be using at a moment, each task counted once."""
 
     bound: Resources  # by attempts bound to machines
@@ -58,14 +56,16 @@
 
     def take(self, spec: JobSpec) -> None:
         """A task of the job is bound."""
-        now = self.of(spec.team).plus(resources_of(spec))
-        self._now[spec.team] = now
-        self._highest[spec.team] = now.at_least(self.highest(spec.team))
+        had = self.of(spec.team)
+        now = self._now[spec.team] = Resources(had.cpus + spec.cpus, had.gpus + spec.gpus)
+        highest = self.highest(spec.team)
+        if now.cpus > highest.cpus or now.gpus > highest.gpus:
+            self._highest[spec.team] = now.at_least(highest)
 
     def give_back(self, spec: JobSpec) -> None:
         """A task of the job is proved gone."""
-        now = self.of(spec.team)
-        self._now[spec.team] = Resources(now.cpus - spec.cpus, now.gpus - spec.gpus).at_least(NOTHING)
+        had = self.of(spec.team)
+        self._now[spec.team] = Resources(max(0.0, had.cpus - spec.cpus), max(0.0, had.gpus - spec.gpus))
 
     def of(self, team: str) -> Resources:
         """What the team's attempts take now."""
