--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from review.standins import Deployment, job, main
+from review.standins import Deployment, Worker, job, main
 
 WAIT_S = 90.0  # s; no job is left waiting for this long while a machine that fits has room
 SICK_AFTER_FAILURES_S = 2.0  # s; how much longer the machines are faulty
@@ -16,19 +16,25 @@
 async def case(d: Deployment, trouble: bool) -> bool:
     """Return whether all replicas ran within 90 s of the end of the trouble, or some machine lacked room meanwhile."""
     label = d.leader() or "sill-0"
-    sick = list(d.workers.values())[1:]  # two of three, one in each zone
+    faulty: list[Worker] = []
+
+    def fail(worker: Worker, task: str) -> None:
+        """The first two machines that get a replica fail what they start."""
+        if worker not in faulty and len(faulty) < 2:
+            faulty.append(worker)
+            worker.sick = True
+            d.record.write("machine_faulty", machine=worker.name, zone=worker.zone)
+
     if trouble:
-        for machine in sick:
-            machine.sick = True
-            d.record.write("machine_faulty", machine=machine.name, zone=machine.zone)
+        d.on_start = fail
     service = job("run-000001", workload="cert-verify", shape="standing", rank="prod", expectedRunS=0.0)
     await d.submit({**service, "shards": 3, "vcpus": CPUS, "memoryGb": MEMORY_GB, "scatter": True}, label)
     if trouble:
         await d.until(lambda: len({m for _, _, m, why in d.ends if why == "error"}) == 2, 20.0, "no two failures")
         await trio.sleep(SICK_AFTER_FAILURES_S)
-        for machine in sick:
-            machine.sick = False
-            d.record.write("machine_well", machine=machine.name)
+        for worker in faulty:
+            worker.sick = False
+            d.record.write("machine_well", machine=worker.name)
     over_at = d.record.now()
     polled_at = 0.0
     while d.record.now() < over_at + WAIT_S + 1.0:
@@ -54,4 +60,4 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).resolve().parent, case, machines=3)
+    main(Path(__file__).resolve().parent, case, machines=6)
--- a/review/standins.py
+++ b/review/standins.py
@@ -245,6 +245,7 @@
                 self.tasks[key] = {"phase": "exited", "exitCause": "busy"}
             else:
                 self.tasks[key] = {"phase": "pulling", "at": trio.current_time()}
+                self._d.on_start(self, key[0])
             self._notify()
         elif order["verb"] == "halt" and task is not None and task["phase"] != "exited":
             self._exit(key, "halted")
@@ -362,12 +363,13 @@
         self.rng = random.Random(1)
         self.flavour = flavour
         self.store = Store()
-        self.cloud = FakeCloud(self._boot, capacity=6, lag_s=12.0)
+        self.cloud = FakeCloud(self._boot, capacity=12, lag_s=12.0)
         self.specs: dict[str, dict[str, Any]] = {}
         self.done: set[str] = set()
         self.workers: dict[str, Worker] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self.starts: list[tuple[float, str, str]] = []  # time, task, machine
+        self.on_start: Callable[[Worker, str], None] = lambda worker, task: None  # a start command is executed
         self.ends: list[tuple[float, str, str, str]] = []  # time, task, machine, why
         self.addresses = {label: f"127.0.0.1:{free_port()}" for label in LABELS}
         self._peers = {label: f"127.0.0.1:{free_port()}" for label in LABELS}
@@ -590,10 +592,17 @@
 Case = Callable[[Deployment, bool], Awaitable[bool]]
 
 
+async def _end_on_signal(scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
 async def _play(folder: Path, case: Case, trouble: bool, machines: int, directory: Path) -> int:
     record = Record(folder / "record.txt")
     outcome = 2
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_signal, nursery.cancel_scope)
         deployment = Deployment(directory, nursery, record, TEAK_LARGE)
         try:
             with trio.move_on_after(TIME_LIMIT_S) as scope:
