--- a/review/standins.py
+++ b/review/standins.py
@@ -147,7 +147,7 @@
         self._d = deployment
         self.name, self.flavour, self.zone, self.spot = name, flavour, zone, spot
         self.addr = ""  # through a proxy
-        self.commands = Link("0:0")  # controllers -> this machine
+        self.commands = Link("127.0.0.1:0")  # controllers -> this machine
         self.reports: dict[str, Link] = {}  # this machine -> a controller
         self._clients: dict[str, Client] = {}
         self._at = deployment.rng.choice(LABELS)
@@ -168,6 +168,7 @@
             host, port = listener.socket.getsockname()[:2]
             self.commands = Link(f"{host}:{port}")
             self.addr = await self.commands.start(nursery)
+            self._d.cloud.machines[self.name]["addr"] = self.addr
             for label, address in self._d.addresses.items():
                 link = self.reports[label] = Link(address)
                 self._clients[label] = Client(await link.start(nursery))
@@ -385,6 +386,7 @@
         """Start everything, and wait until there is a leader and it knows these machines."""
         self.cloud.boot_times = lambda number: 0.3
         self.cloud.on_return = self._return
+        self.cloud.name_of = lambda number: f"m-{number:06d}"
         self._nursery.start_soon(self.store.run)
         self._nursery.start_soon(self.cloud.run)
         store = await self._serve(partial(self.store.handle, "controller"))
