Log unanswered direct starts and leases renewed in degraded mode

Cause: logs and metrics could not tell whether a start that executed late was the original call or a repeat, nor which fencing token a worker was answered during an outage of the key-value store.

--- a/sorrelsill/controller/heartbeat_routes.py
+++ b/sorrelsill/controller/heartbeat_routes.py
@@ -9,6 +9,7 @@
 
 from sorrelsill.controller.components import ControllerComponents, jobs_are_fresh
 from sorrelsill.controller.encoding import encode
+from sorrelsill.events import log_event
 from sorrelsill.http import Reply, Request
 from sorrelsill.jobs import ended_in_phase
 from sorrelsill.model import JobPhase
@@ -77,13 +78,28 @@
             commands = answer
             self._on_heartbeat()
         if cluster is None or not may_command:
-            # Degraded mode: no controller can lead. The response has the worker's own fencing token, so that the worker
-            # accepts it and renews its lease, and has no other commands than stops of cancelled tasks.
-            return Reply(200, encode(HeartbeatResponse(heartbeat.fencing_token, self._stop_commands(heartbeat, now))))
+            return self._renew_in_degraded_mode(heartbeat, now)
         # This heartbeat is newer than all earlier ones of the machine, so the worker owns this connection from now on,
         # and its previous one is closed unless busy. A delayed duplicate was answered with 503 above.
         return Reply(200, encode(HeartbeatResponse(cluster.term, commands)), owner=heartbeat.machine)
 
+    def _renew_in_degraded_mode(self, heartbeat: WorkerHeartbeat, now: float) -> Reply:
+        """Renews the lease while no controller can lead. The response has the worker's own fencing token, so that the
+        worker accepts it, and has no other commands than stops of cancelled tasks."""
+        response = HeartbeatResponse(heartbeat.fencing_token, self._stop_commands(heartbeat, now))
+        self._count_event("renewed_degraded")
+        log_event(
+            log,
+            logging.DEBUG,
+            "lease_renewed_degraded",
+            machine=heartbeat.machine,
+            incarnation=heartbeat.incarnation,
+            reported_token=heartbeat.fencing_token,
+            token=response.fencing_token,
+            stops=len(response.commands),
+        )
+        return Reply(200, encode(response))
+
     def _redirect(self) -> Reply:
         # After a pause of this process, its watch cache may name a leader whose term has ended since.
         label = self._elector.leader_label() if jobs_are_fresh(self._watch_cache) else None
--- a/sorrelsill/workers/command_sender.py
+++ b/sorrelsill/workers/command_sender.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 import trio
 
 from sorrelsill import constants
+from sorrelsill.events import log_event
 from sorrelsill.http import Client, NoAnswerError, NotSentError
 from sorrelsill.workers.commands import has_direct_commands, mark_starts_answered, take_direct_commands
 from sorrelsill.workers.machine_probes import MachineProbes
@@ -25,6 +27,8 @@
     from sorrelsill.workers.cluster_state import ClusterState
     from sorrelsill.workers.machine import Attempt, Machine
 
+log = logging.getLogger(__name__)
+
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -117,6 +121,16 @@
                 # commands reach it.
                 machine.reachable = False
                 self._connections.call_failed(machine.name, str(error))
+                if batch.started:
+                    log_event(
+                        log,
+                        logging.INFO,
+                        "starts_unanswered",
+                        machine=machine.name,
+                        incarnation=machine.incarnation,
+                        token=cluster.term,
+                        starts=len(batch.started),
+                    )
                 return
             if status in (200, 400, 409):
                 self._connections.pauses.call_answered(machine.name)
