Renew leases in outages with a higher fencing token, so that held starts are refused

Cause: a worker executes a direct start while token and incarnation match. In degraded mode each renewal of the lease carried the worker's own token, so both stayed as they were for the whole outage. Only the process that sent the start knows of it. Change: such a renewal carries a token above that of every leader so far: one more than the highest store revision known here or named by a peer in its answer to /promise. An answer without a revision makes nothing certain. A leader that gave a promise rewrites its key after the promise has ended, and acts again with the new revision as its token; its term, cluster state and attempts continue. Writes of the leader key move to a module of their own.

--- a/sorrelsill/controller/components.py
+++ b/sorrelsill/controller/components.py
@@ -17,7 +17,7 @@
 from sorrelsill.jobs import Admission, Cancellations
 from sorrelsill.leadership import ControllerLabels, ElectionCallbacks, LeaderElector, Watchdog
 from sorrelsill.membership import PRESENCE_PREFIX, MembershipSettings, make_membership
-from sorrelsill.peers import DegradedMode
+from sorrelsill.peers import DegradedMode, DegradedModeCallbacks
 from sorrelsill.placement import Scheduler
 from sorrelsill.settings import OperatorOverrides, Settings, Timings
 from sorrelsill.store import KeyValueStore, WatchCache
@@ -44,6 +44,7 @@
     """The functions of the controller that its components call."""
 
     on_term_changed: Callable[[int | None], None]  # the new term, or None when a term ends
+    on_fencing_token_raised: Callable[[int], None]  # the new fencing token of the current term
     receives_no_heartbeats: Callable[[], bool]
     has_other_candidates: Callable[[str], Awaitable[bool]]  # given the label of the former leader, which does not count
     on_final: Callable[[str, Any], None]  # job ID and final record
@@ -106,7 +107,7 @@
         admission=Admission(store, watch_cache, platform.teams, environment.wall_clock),
         watchdog=watchdog,
         elector=elector,
-        degraded_mode=_make_degraded_mode(environment, callbacks, store, elector, cancellations),
+        degraded_mode=_make_degraded_mode(environment, callbacks, store, watch_cache, elector, cancellations),
         scheduler=_make_scheduler(environment),
         cloud=CloudClient(make_client(settings.services.cloud), platform.cloud),
         command_sender=_make_command_sender(environment, callbacks, watch_cache, elector),
@@ -130,7 +131,12 @@
         ControllerLabels(settings.label, [member.label for member in settings.members]),
         watchdog,
         environment.rng,
-        ElectionCallbacks(callbacks.on_term_changed, callbacks.receives_no_heartbeats, callbacks.has_other_candidates),
+        ElectionCallbacks(
+            callbacks.on_term_changed,
+            callbacks.on_fencing_token_raised,
+            callbacks.receives_no_heartbeats,
+            callbacks.has_other_candidates,
+        ),
     )
     # The previous process of this controller may have promised a peer not to lead: wait until such a promise ends.
     elector.no_campaign_before = trio.current_time() + (constants.PROMISE_S if settings.members else 0.0)
@@ -141,17 +147,18 @@
     environment: Environment,
     callbacks: ControllerCallbacks,
     store: KeyValueStore,
+    watch_cache: WatchCache,
     elector: LeaderElector,
     cancellations: Cancellations,
 ) -> DegradedMode:
     return DegradedMode(
         store,
+        watch_cache,
         elector,
         environment.settings.members,
         environment.make_client,
         cancellations,
-        on_renewal_promise=callbacks.on_renewal_promise,
-        on_peer_cancellations=callbacks.on_peer_cancellations,
+        DegradedModeCallbacks(callbacks.on_renewal_promise, callbacks.on_peer_cancellations),
     )
 
 
--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -77,6 +77,7 @@
     def _callbacks(self) -> ControllerCallbacks:
         return ControllerCallbacks(
             on_term_changed=self._on_term_changed,
+            on_fencing_token_raised=self._on_fencing_token_raised,
             receives_no_heartbeats=self._receives_no_heartbeats,
             has_other_candidates=self._has_other_candidates,
             on_final=self._on_final,
@@ -123,6 +124,11 @@
         for loop in ("place", "record", "fleet"):
             self.watchdog.record_heartbeat(loop)
 
+    def _on_fencing_token_raised(self, fencing_token: int) -> None:
+        """Called when this leader continues its term with a higher fencing token, after degraded mode."""
+        if self.cluster is not None:
+            self.cluster.fencing_token = fencing_token
+
     def _log_failover(self, cluster: ClusterState) -> None:
         log_event(
             log,
@@ -146,7 +152,7 @@
             self.watch_cache,
             cluster,
             self.elector.valid,
-            on_fenced=lambda: self.elector.observe_fencing_token(cluster.term + 1),
+            on_fenced=lambda: self.elector.observe_fencing_token(cluster.fencing_token + 1),
         )
 
     def _make_fleet(self, cluster: ClusterState) -> FleetManager:
@@ -356,7 +362,7 @@
             self._stored_catalog = raw
             return
         try:
-            txn = await self.store.commit([Compare(LEADER, self.elector.term or 0)], [Put(CATALOG, raw)])
+            txn = await self.store.commit([Compare(LEADER, self.elector.fencing_token or 0)], [Put(CATALOG, raw)])
             if txn.ok:
                 self._stored_catalog = raw
         except (UnavailableError, AmbiguousError) as error:
--- a/sorrelsill/controller/heartbeat_routes.py
+++ b/sorrelsill/controller/heartbeat_routes.py
@@ -81,12 +81,13 @@
             return self._renew_in_degraded_mode(heartbeat, now)
         # This heartbeat is newer than all earlier ones of the machine, so the worker owns this connection from now on,
         # and its previous one is closed unless busy. A delayed duplicate was answered with 503 above.
-        return Reply(200, encode(HeartbeatResponse(cluster.term, commands)), owner=heartbeat.machine)
+        return Reply(200, encode(HeartbeatResponse(cluster.fencing_token, commands)), owner=heartbeat.machine)
 
     def _renew_in_degraded_mode(self, heartbeat: WorkerHeartbeat, now: float) -> Reply:
-        """Renews the lease while no controller can lead. The response has the worker's own fencing token, so that the
-        worker accepts it, and has no other commands than stops of cancelled tasks."""
-        response = HeartbeatResponse(heartbeat.fencing_token, self._stop_commands(heartbeat, now))
+        """Renews the lease while no controller can lead. The response's fencing token is at least the worker's own, so
+        that the worker accepts it, and there are no other commands than stops of cancelled tasks."""
+        token = self._degraded_mode.renewal_token(heartbeat.fencing_token)
+        response = HeartbeatResponse(token, self._stop_commands(heartbeat, now))
         self._count_event("renewed_degraded")
         log_event(
             log,
@@ -95,7 +96,7 @@
             machine=heartbeat.machine,
             incarnation=heartbeat.incarnation,
             reported_token=heartbeat.fencing_token,
-            token=response.fencing_token,
+            token=token,
             stops=len(response.commands),
         )
         return Reply(200, encode(response))
@@ -113,9 +114,9 @@
 
     def _stop_commands(self, heartbeat: WorkerHeartbeat, now: float) -> list[Command]:
         """In degraded mode: commands that stop the tasks of cancelled jobs. These are correct whichever controller
-        leads next, and a worker accepts them from any controller that sends the worker's own fencing token. If the
-        watch cache was loaded recently, jobs cancelled before that may be missing from it. While that is possible,
-        tasks of any job that the cache does not list as live are stopped as well."""
+        leads next, and a worker accepts them with any fencing token that is not below its own. If the watch cache was
+        loaded recently, jobs cancelled before that may be missing from it. While that is possible, tasks of any job
+        that the cache does not list as live are stopped as well."""
         has_gap = self._watch_cache.fresh_at > float("-inf") and self._cancellations.may_have_missed_cancellation(now)
         commands: list[Command] = []
         for attempt in heartbeat.tasks:
--- a/sorrelsill/jobs/cancellations.py
+++ b/sorrelsill/jobs/cancellations.py
@@ -166,9 +166,10 @@
             fresh_age_s=now - self._fresh_at if self._fresh_at > _NEVER else None,
         ).to_wire()
 
-    def merge_peer_answer(self, peer: int, answer: Any, sent_at: float, now: float) -> list[str]:
+    def merge_peer_answer(self, peer: int, answer: Any, sent_at: float, now: float, complete: bool = True) -> list[str]:
         """Applies a peer's answer to the request sent at `sent_at`. Returns the jobs whose cancellation was not known
-        here. A malformed answer changes nothing."""
+        here. A malformed answer changes nothing. Without `complete`, it guarantees nothing: the peer did not tell which
+        revision of the store it knows, so a lease renewed here may keep a start of its last term valid."""
         reported = PeerCancellations.from_wire(answer)
         if reported is None:
             return []
@@ -177,6 +178,8 @@
         drift = 1 - constants.CLOCK_DRIFT * 2
         since = now - reported.since_age_s * drift
         new = [job_id for job_id in reported.job_ids if self.add(job_id, now)]
+        if not complete:
+            return new
         own = self._complete_until_without_peers(now)
         before = max(self._peer_known_until[peer], own)
         if since <= before:
--- a/sorrelsill/jobs/record_writer.py
+++ b/sorrelsill/jobs/record_writer.py
@@ -1,6 +1,6 @@
 """The leader's writes: progress of live jobs, moves of ended jobs to their final key, and the registry of machines that
-may hold work. Every transaction has the condition that the revision of the leader key is still this term, so a
-transaction that arrives after the term has ended fails.
+may hold work. Every transaction has the condition that the leader key still has the revision of this leader's fencing
+token, so a transaction that arrives after the term has ended fails.
 
 All writes keep to the limits of the key-value store, which may be reduced without notice. When the store refuses a
 transaction for its size, the changes in it are sent one by one, and a change that is refused alone is quarantined."""
@@ -68,7 +68,7 @@
             batch.committed(result.rev)
             return True
         batch.failed()
-        if result is not None and LEADER in result.failed:
+        if result is not None and LEADER in result.failed and batch.leader_key_rev == self._cluster.fencing_token:
             self._on_fenced()
         return False
 
@@ -80,7 +80,7 @@
         """Collects due changes by priority: ended jobs, since users wait for the results; changes of the machine
         registry, since a machine gets no work before it is registered; jobs that started or stopped running; and last,
         progress and deletions of orphaned chunks, which leave a reserve of the write rate for the other changes."""
-        batch = WriteBatch(self._cluster.term, self._store.txn_ops)
+        batch = WriteBatch(self._cluster.fencing_token, self._store.txn_ops)
         due = self.due_records()
         self._jobs.add_to(batch, due.ended)
         self._registry.add_to(batch)
--- a/sorrelsill/jobs/write_batch.py
+++ b/sorrelsill/jobs/write_batch.py
@@ -18,8 +18,10 @@
     """Changes that are committed together. Each could also be committed alone, and has a name so that a change that the
     store refuses can be identified."""
 
-    def __init__(self, term: int, max_writes: int) -> None:
-        self.compares = [Compare(LEADER, term)]
+    def __init__(self, leader_key_rev: int, max_writes: int) -> None:
+        """`leader_key_rev`: the batch is committed only if the leader key still has this revision."""
+        self.leader_key_rev = leader_key_rev
+        self.compares = [Compare(LEADER, leader_key_rev)]
         self.writes: list[Put | Delete] = []
         self.changes: list[str] = []
         self.max_writes = max_writes
--- a/sorrelsill/leadership/leader_elector.py
+++ b/sorrelsill/leadership/leader_elector.py
@@ -1,15 +1,19 @@
 """Leader election. The leader is the controller that holds `s/leader`, a key with a lease in the key-value store.
 
-The term is the revision of that key; workers use it as the fencing token. The leader renews its lease
-every sixth of the lease duration, and acts only while its last successful renewal was *sent* less than two thirds of
-the lease duration ago. The store deletes the key no earlier than a whole lease duration after the last renewal arrived
-there, so another controller can acquire it only after this one has stopped acting.
+The term is the revision at which that key was created, and the first fencing token of the leader. The leader renews its
+lease every sixth of the lease duration, and acts only while its last successful renewal was *sent* less than two thirds
+of the lease duration ago. The store deletes the key no earlier than a whole lease duration after the last renewal
+arrived there, so another controller can acquire it only after this one has stopped acting.
 
 Following Strøm's guide (the design paper that this election follows), the leader steps down if a renewal takes longer
 than the renewal interval. Unlike in the guide, a renewal that was certainly not executed (503, 429, connection refused)
 does not count as slow and is retried. If the validity expires during these retries, the leader only stops acting: if a
 later renewal finds that the lease still exists (leases do not expire during an outage of the store), this controller
-has held the key throughout, and it continues with the same term."""
+has held the key throughout, and it continues with the same term.
+
+In degraded mode, leases are renewed with higher fencing tokens than the leader's (`peers/degraded_mode.py`). So a
+leader that has promised its peers not to act needs a higher token before it acts again. It rewrites the key: the new
+revision is higher than every token used in degraded mode, and lower than the term of every later leader."""
 
 from __future__ import annotations
 
@@ -23,9 +27,10 @@
 from sorrelsill import constants
 from sorrelsill.events import log_event
 from sorrelsill.leadership.leader_key import LeaderKey
+from sorrelsill.leadership.leader_key_writer import KeyRewrite, LeaderKeyWriter
 from sorrelsill.leadership.watchdog import Watchdog
 from sorrelsill.settings import Timings
-from sorrelsill.store import LEADER, AmbiguousError, Compare, KeyValueStore, Put, UnavailableError, WatchCache
+from sorrelsill.store import LEADER, AmbiguousError, KeyValueStore, UnavailableError, WatchCache
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +64,7 @@
     """Callbacks of the leader elector into its controller."""
 
     on_term_changed: Callable[[int | None], None] = lambda term: None  # the new term, or None when a term ends
+    on_fencing_token_raised: Callable[[int], None] = lambda fencing_token: None  # the leader's new token
     receives_no_heartbeats: Callable[[], bool] = lambda: False  # whether heartbeats of all workers have stopped
     # Whether any controller other than the given former leader could acquire the key now.
     has_other_candidates: Callable[[str], Awaitable[bool]] = _no_other_candidates
@@ -84,11 +90,15 @@
         self._next_label = labels.next_label()
         self._watchdog = watchdog
         self._rng = rng
+        self._key_writer = LeaderKeyWriter(store, labels.own, rng)
         self._callbacks = callbacks
         self._latest_leader: str | None = None  # as last seen in the watch cache
         self._previous_leader: str | None = None
         self._resigned = False
         self.term: int | None = None
+        self.fencing_token: int | None = None  # of the leader: the revision of its last write of the leader key
+        self.highest_fencing_token = 0  # the highest one that this process has led with
+        self._fencing_token_requested_at = _NEVER
         self._lease: int | None = None
         self.last_renewal_sent_at = _NEVER  # successful renewals only
         # This controller has promised its peers neither to acquire the key nor to act as leader before this time.
@@ -108,9 +118,15 @@
             self.term is not None
             and now - self.last_renewal_sent_at < self._timings.validity_s
             and now >= self.promised_until
+            and not self._is_fencing_token_outdated()
             and not self._watchdog.stalled_loops()
         )
 
+    def _is_fencing_token_outdated(self) -> bool:
+        """Whether leases may have been renewed with a higher token than ours: a promise was in force after our token
+        was requested."""
+        return self.promised_until > self._fencing_token_requested_at
+
     def leader_label(self) -> str | None:
         """The label of the current leader according to the watch cache."""
         known = self._watch_cache.leader()
@@ -127,15 +143,19 @@
             return
         if value is not None:
             self._previous_leader, self._latest_leader = self._latest_leader, self.leader_label()
-        if self.term is not None and rev > self.term:
+        if self.fencing_token is not None and rev > self.fencing_token and not self._is_own_key(value):
             # The key was deleted or changed hands: stop acting, even if the lease is still valid by the local clock.
             self._step_down("the leader key is gone")
         self._leader_key_changed.set()
         self._leader_key_changed = trio.Event()
 
+    def _is_own_key(self, value: object) -> bool:
+        """Whether a value of the leader key was written by this leader: nobody else uses its lease."""
+        return self._lease is not None and LeaderKey.from_stored(value).lease == self._lease
+
     def observe_fencing_token(self, fencing_token: int) -> None:
         """Step down if a worker has seen a higher fencing token: another controller was elected after this one."""
-        if self.term is not None and fencing_token > self.term:
+        if self.fencing_token is not None and fencing_token > self.fencing_token:
             self._step_down(f"a worker has seen fencing token {fencing_token}")
 
     async def resign(self) -> None:
@@ -162,6 +182,7 @@
         """Stop acting as leader at once, without revoking the lease of the key."""
         log_event(log, logging.INFO, "leading_ended", term=self.term, reason=reason)
         self.term = None
+        self.fencing_token = None
         self._lease = None
         self.last_renewal_sent_at = _NEVER
         self._store.set_leading(False)
@@ -196,7 +217,53 @@
             self.no_campaign_before = trio.current_time() + constants.NO_HEARTBEAT_STANDBY_S
             await self._step_down_and_revoke(self._lease, "no worker is heard")
             return
-        await self._renew(self.term, self._lease)
+        term, lease = self.term, self._lease
+        if self._may_raise_fencing_token():
+            await self._raise_fencing_token(term, lease)
+        if self.term == term:
+            await self._renew(term, lease)
+
+    def _may_raise_fencing_token(self) -> bool:
+        """Whether a higher token is needed and may be requested: no promise is in force, so no controller renews leases
+        with a token derived from the new one, and the last renewal shows that the store is reachable."""
+        return (
+            self._is_fencing_token_outdated()
+            and trio.current_time() >= self.promised_until
+            and not self._validity_expired(self.last_renewal_sent_at)
+        )
+
+    async def _raise_fencing_token(self, term: int, lease: int) -> None:
+        """Try once to rewrite the leader key, whose new revision is the new fencing token."""
+        assert self.fencing_token is not None
+        interval_s = self._timings.renewal_interval_s
+        requested_at = trio.current_time()
+        rewrite: KeyRewrite | None = None
+        self.acquiring = True
+        try:
+            with trio.move_on_after(interval_s):
+                rewrite = await self._key_writer.rewrite(lease, self.fencing_token)
+        except (UnavailableError, AmbiguousError) as error:
+            log_event(log, logging.DEBUG, "fencing_token_not_raised", term=term, reason=str(error))
+        finally:
+            self.acquiring = False
+        if rewrite is None:
+            await trio.sleep(interval_s / 3)
+        if rewrite is None or self.term != term:
+            return
+        if rewrite.key is None:
+            self._step_down("the leader key is gone")
+            return
+        self._set_fencing_token(rewrite.rev)
+        if not rewrite.done:
+            return
+        self._fencing_token_requested_at = requested_at
+        self._watch_cache.apply_change(LEADER, rewrite.key.to_stored(), rewrite.rev, True)
+        log_event(log, logging.INFO, "fencing_token_raised", term=term, token=rewrite.rev)
+        self._callbacks.on_fencing_token_raised(rewrite.rev)
+
+    def _set_fencing_token(self, fencing_token: int) -> None:
+        self.fencing_token = fencing_token
+        self.highest_fencing_token = max(self.highest_fencing_token, fencing_token)
 
     async def _renew(self, term: int, lease: int) -> None:
         """Renew the lease once, then sleep until the next renewal is due."""
@@ -214,12 +281,16 @@
         if renewed:
             if self.term == term:
                 self._record_renewal(sent_at)
-            await trio.sleep(max(0.0, sent_at + interval_s - trio.current_time()))
+            await trio.sleep_until(max(self._next_step_at(sent_at + interval_s), trio.current_time()))
         elif self.term == term:
             self._step_down("the lease has ended")
         else:
             await trio.sleep(interval_s)
 
+    def _next_step_at(self, renewal_due_at: float) -> float:
+        """When to renew the lease next, or earlier, when the fencing token may be raised."""
+        return min(renewal_due_at, self.promised_until) if self._is_fencing_token_outdated() else renewal_due_at
+
     def _record_renewal(self, sent_at: float) -> None:
         if sent_at - self.last_renewal_sent_at >= self._timings.validity_s:
             log_event(log, logging.INFO, "leading_again", term=self.term)
@@ -289,30 +360,16 @@
         timeout_s = min(_MAX_ACQUIRE_TIMEOUT_S, self._timings.lease_s / 3)
         sent_at = trio.current_time()
         lease = await self._store.grant(self._timings.lease_s, timeout_s)
-        key = LeaderKey(self._label, f"{self._rng.getrandbits(64):016x}", lease)
-        term = await self._write_key(key, lease)
-        if term is None:
+        created = await self._key_writer.create(lease)
+        if created is None:
             await self._store.revoke(lease, timeout_s)
             await trio.sleep(self._timings.renewal_interval_s / 3)
             return
-        if not await self._wait_for_watch_cache(term, sent_at) or self._resigned:
+        if not await self._wait_for_watch_cache(created.rev, sent_at) or self._resigned:
             # `_resigned` guards against a write of the key that was in flight when the process was told to stop.
             await self._store.revoke(lease, timeout_s)
             return
-        self._begin_term(term, key, sent_at)
-
-    async def _write_key(self, key: LeaderKey, lease: int) -> int | None:
-        """Write the key if it does not exist. Returns its revision, the term, or None if it exists already."""
-        try:
-            put = Put(LEADER, key.to_stored(), lease)
-            result = await self._store.commit([Compare(LEADER, 0)], [put], urgent=True)
-        except AmbiguousError:
-            # The write may have succeeded although its answer was lost: read the key back and compare the nonce.
-            found = await self._store.get(LEADER)
-            if found is None or LeaderKey.from_stored(found[0]).nonce != key.nonce:
-                return None
-            return found[1]
-        return result.rev if result.ok else None
+        self._begin_term(created.rev, created.key, sent_at)
 
     async def _wait_for_watch_cache(self, term: int, sent_at: float) -> bool:
         """Wait until the watch cache has reached the revision of the new term.
@@ -334,7 +391,8 @@
 
     def _begin_term(self, term: int, key: LeaderKey, sent_at: float) -> None:
         self.term, self._lease = term, key.lease
-        self.last_renewal_sent_at = sent_at
+        self._set_fencing_token(term)
+        self.last_renewal_sent_at = self._fencing_token_requested_at = sent_at
         self._store.set_leading(True)
         self._watch_cache.apply_change(LEADER, key.to_stored(), term, True)
         log_event(
--- a/sorrelsill/peers/__init__.py
+++ b/sorrelsill/peers/__init__.py
@@ -1,5 +1,5 @@
 """Promises between controllers, which allow worker leases to be renewed while no controller can lead."""
 
-from sorrelsill.peers.degraded_mode import DegradedMode
+from sorrelsill.peers.degraded_mode import DegradedMode, DegradedModeCallbacks
 
-__all__ = ["DegradedMode"]
+__all__ = ["DegradedMode", "DegradedModeCallbacks"]
--- a/sorrelsill/peers/degraded_mode.py
+++ b/sorrelsill/peers/degraded_mode.py
@@ -3,13 +3,17 @@
 During such an outage the leader's lease cannot be renewed, so no controller may lead. Without answers to heartbeats the
 worker leases would expire and all tasks would be killed. Controllers therefore promise each other not to acquire the
 leader key and not to act as leader for a few seconds. A controller gives a promise only if it cannot reach the store
-itself. A controller that holds promises from *all* members may answer heartbeats with the fencing token that the worker
-already has, which renews the worker's lease, and with stops of cancelled tasks as the only commands. Meanwhile no task
-is started or declared lost, and the next leader counts the lease of each silent worker from the end of the promises
-that it knows of.
+itself. A controller that holds promises from *all* members may answer heartbeats, which renews the workers' leases, and
+stop cancelled tasks. Meanwhile no task is started or declared lost, and the next leader counts
+the lease of each silent worker from the end of the promises that it knows of.
 
-Leases are renewed only while all cancellations up to a recent time are certain to be known (`jobs/cancellations.py`),
-so controllers exchange the cancellations they know with each promise.
+Such an answer carries a fencing token that is higher than that of every leader so far, so that a direct start which
+the last leader sent and which is still in flight is refused by the worker: only that leader knows of the start, and its
+job may have been cancelled. Fencing tokens are revisions of the store, so the token is one more than the highest
+revision that is known here. No later leader has a lower one.
+
+Leases are renewed only while all cancellations and revisions up to a recent time are certain to be known
+(`jobs/cancellations.py`), so controllers exchange what they know with each promise.
 
 A process may have given a promise before it crashed, so the process that replaces it waits for the duration of one
 promise before it acquires the key."""
@@ -18,6 +22,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -28,7 +33,7 @@
 from sorrelsill.leadership import LeaderElector
 from sorrelsill.peers.messages import PromiseAnswer, PromiseRequest
 from sorrelsill.settings import Member
-from sorrelsill.store import KeyValueStore
+from sorrelsill.store import KeyValueStore, WatchCache
 
 log = logging.getLogger(__name__)
 
@@ -36,22 +41,30 @@
 _NEVER = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class DegradedModeCallbacks:
+    """Callbacks of degraded mode into its controller."""
+
+    on_renewal_promise: Callable[[float], None]  # time until which other controllers may renew leases
+    # cancelled jobs that a peer reported and that were not known here
+    on_peer_cancellations: Callable[[list[str]], None]
+
+
 class DegradedMode:
     """Exchanges promises with the other controllers while none of them can reach the key-value store."""
 
     def __init__(
         self,
         store: KeyValueStore,
+        watch_cache: WatchCache,
         elector: LeaderElector,
         members: list[Member],
         make_client: Callable[[str], Client],
         cancellations: Cancellations,
-        on_renewal_promise: Callable[[float], None] = lambda until: None,
-        on_peer_cancellations: Callable[[list[str]], None] = lambda job_ids: None,
+        callbacks: DegradedModeCallbacks,
     ) -> None:
-        """`on_renewal_promise` is called with the time until which other controllers may renew leases,
-        `on_peer_cancellations` with the cancelled jobs that a peer reported and that were not known here."""
         self._store = store
+        self._watch_cache = watch_cache
         self._cancellations = cancellations
         self._elector = elector
         self._clients = [make_client(member.addr) for member in members]
@@ -59,8 +72,9 @@
         # Both are keyed by the index of the peer in `members`.
         self._promise_valid_until: dict[int, float] = {}  # until when a promise of the peer is relied on
         self._reported_failing_at: dict[int, float] = {}  # when the peer last reported that it cannot reach the store
-        self.on_renewal_promise = on_renewal_promise
-        self._on_peer_cancellations = on_peer_cancellations
+        self._highest_peer_revision = 0  # of the store, as known to any peer
+        self.on_renewal_promise = callbacks.on_renewal_promise
+        self._on_peer_cancellations = callbacks.on_peer_cancellations
 
     def active(self) -> bool:
         """Whether leases may be renewed now: all members, including this one, are bound by a promise."""
@@ -71,6 +85,15 @@
             self._promise_valid_until.get(peer, _NEVER) > now for peer in range(len(self._clients))
         )
 
+    def highest_revision(self) -> int:
+        """The highest revision of the store that is known here; 0 if none is."""
+        return max(self._watch_cache.rev, self._elector.highest_fencing_token, self._highest_peer_revision)
+
+    def renewal_token(self, reported_token: int) -> int:
+        """The fencing token for an answer that renews the lease of a worker that reports this token."""
+        revision = self.highest_revision()
+        return max(reported_token, revision + 1) if revision else reported_token
+
     def any_peer_store_failing(self) -> bool:
         """Whether a peer has recently answered that it cannot reach the store either. If so, the fault is not local to
         this controller."""
@@ -94,7 +117,7 @@
         if promised:
             self._make_promise()
         known = self._cancellations.answer_peer(request.cancellations, trio.current_time())
-        return PromiseAnswer(promised, failing, known).to_body()
+        return PromiseAnswer(promised, failing, known, self.highest_revision()).to_body()
 
     async def has_other_candidates(self, former: str) -> bool:
         """Whether a controller of this version other than the `former` leader answers now. The previous version does
@@ -142,7 +165,10 @@
         if answer is None:
             return
         # Merged before the promise takes effect: renewals that rely on the promise depend on these cancellations.
-        new_job_ids = self._cancellations.merge_peer_answer(peer, answer.known, sent_at, trio.current_time())
+        self._highest_peer_revision = max(self._highest_peer_revision, answer.revision or 0)
+        new_job_ids = self._cancellations.merge_peer_answer(
+            peer, answer.known, sent_at, trio.current_time(), complete=answer.revision is not None
+        )
         if new_job_ids:
             log_event(log, logging.INFO, "cancellations_learnt", peer=self._labels[peer], jobs=len(new_job_ids))
             self._on_peer_cancellations(new_job_ids)
--- a/sorrelsill/peers/messages.py
+++ b/sorrelsill/peers/messages.py
@@ -1,7 +1,7 @@
 """The JSON messages of `/promise` between controllers. Each field is decoded separately.
 
-The previous version sends neither `back` nor `known`. A missing field counts neither as a promise nor as a failure to
-reach the store nor as knowledge of cancellations."""
+The previous version sends neither `back` nor `known` nor `revision`. A missing field counts neither as a promise nor as
+a failure to reach the store nor as knowledge of cancellations or revisions."""
 
 from __future__ import annotations
 
@@ -34,6 +34,7 @@
     promised: bool
     failing: bool  # the answering controller cannot reach the key-value store either
     known: Any  # cancellations, from `Cancellations.answer_peer`
+    revision: int | None  # the highest revision of the store that the answering controller knows
     has_known: bool = True  # False for the previous version, which does not send the field
 
     @classmethod
@@ -43,12 +44,22 @@
         if fields is None:
             return None
         return cls(
-            bool(fields.get("promised")), bool(fields.get("failing")), fields.get("known"), has_known="known" in fields
+            bool(fields.get("promised")),
+            bool(fields.get("failing")),
+            fields.get("known"),
+            _revision(fields.get("revision")),
+            has_known="known" in fields,
         )
 
     def to_body(self) -> bytes:
         """Encode as JSON."""
-        return orjson.dumps({"promised": self.promised, "failing": self.failing, "known": self.known})
+        return orjson.dumps(
+            {"promised": self.promised, "failing": self.failing, "known": self.known, "revision": self.revision}
+        )
+
+
+def _revision(value: Any) -> int | None:
+    return value if isinstance(value, int) and not isinstance(value, bool) and value >= 0 else None
 
 
 def _decode_map(body: bytes) -> dict[str, Any] | None:
--- a/sorrelsill/workers/cluster_records.py
+++ b/sorrelsill/workers/cluster_records.py
@@ -54,6 +54,9 @@
     ) -> None:
         """`loss_s`, `validity_s`, `overdue_s`: durations in seconds, explained in `LeaseMonitor`."""
         self.term = term
+        # The highest fencing token that this leader has given to workers. Every token from `term` on proves that a
+        # worker refuses all earlier leaders.
+        self.fencing_token = term
         self.term_began_at = now
         self.catalog = catalog
         self.loss_s = loss_s
--- a/sorrelsill/workers/command_sender.py
+++ b/sorrelsill/workers/command_sender.py
@@ -107,7 +107,8 @@
             batch = take_direct_commands(cluster, machine, self._jobs_fresh())
             if not batch.commands:
                 return
-            body = _encode(DirectCommands(cluster.term, machine.incarnation, batch.commands))
+            token = cluster.fencing_token
+            body = _encode(DirectCommands(token, machine.incarnation, batch.commands))
             try:
                 status, raw = await self._connections.client(machine.addr).request(
                     "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._may_send(batch.started)
@@ -117,20 +118,7 @@
                 self._connections.call_failed(machine.name, str(error))
                 return
             except NoAnswerError as error:
-                # The attempts stay uncertain, and the machine gets no new work until it has shown that responses or
-                # commands reach it.
-                machine.reachable = False
-                self._connections.call_failed(machine.name, str(error))
-                if batch.started:
-                    log_event(
-                        log,
-                        logging.INFO,
-                        "starts_unanswered",
-                        machine=machine.name,
-                        incarnation=machine.incarnation,
-                        token=cluster.term,
-                        starts=len(batch.started),
-                    )
+                self._call_unanswered(machine, len(batch.started), token, error)
                 return
             if status in (200, 400, 409):
                 self._connections.pauses.call_answered(machine.name)
@@ -143,6 +131,22 @@
             if has_direct_commands(cluster, machine, True):
                 cluster.machines_with_pending_commands[machine.name] = machine
 
+    def _call_unanswered(self, machine: Machine, starts: int, token: int, error: NoAnswerError) -> None:
+        """The started attempts stay uncertain, and the machine gets no new work until it has shown that responses or
+        commands reach it."""
+        machine.reachable = False
+        self._connections.call_failed(machine.name, str(error))
+        if starts:
+            log_event(
+                log,
+                logging.INFO,
+                "starts_unanswered",
+                machine=machine.name,
+                incarnation=machine.incarnation,
+                token=token,
+                starts=starts,
+            )
+
     def _may_send(self, starts: list[Attempt]) -> Callable[[], bool]:
         """Return a check whether commands may still be sent: while we lead and, if they include starts, while the view
         of the jobs is fresh."""
--- a/sorrelsill/workers/heartbeats.py
+++ b/sorrelsill/workers/heartbeats.py
@@ -21,8 +21,9 @@
     Without `may_command` (degraded mode) there are no commands; without `jobs_fresh` (a recent view of the jobs) there
     are no starts.
 
-    Raises FencedError if the worker has seen a higher fencing token."""
-    if heartbeat.fencing_token > cluster.term:
+    Raises FencedError if the worker has seen a higher fencing token. In degraded mode that proves nothing, since leases
+    are renewed with higher tokens than the leader's."""
+    if may_command and heartbeat.fencing_token > cluster.fencing_token:
         raise FencedError(heartbeat.fencing_token)
     if _is_from_removed_machine(cluster, heartbeat):
         return None
@@ -56,7 +57,7 @@
     """Process a worker's state from its response to a direct call. It renews no lease. It may be older than a heartbeat
     response that is still in flight, so tasks that it does not list may still be started: their absence proves less
     than in a heartbeat."""
-    if heartbeat.fencing_token > cluster.term or _is_from_removed_machine(cluster, heartbeat):
+    if heartbeat.fencing_token > cluster.fencing_token or _is_from_removed_machine(cluster, heartbeat):
         return
     machine = _get_or_add_machine(cluster, heartbeat, now)
     if (heartbeat.incarnation, heartbeat.sequence_number) <= (machine.incarnation, machine.sequence_number):
@@ -71,7 +72,7 @@
     _update_identity(cluster, machine, heartbeat, now)
     if machine.last_seen_at == float("-inf"):
         machine.last_seen_at = now
-    if heartbeat.fencing_token == cluster.term:
+    if heartbeat.fencing_token >= cluster.term:
         _acknowledge_token(cluster, machine, True, now, "direct answer")
         machine.reachable = True
         machine.reachability_proved_at = now
@@ -122,9 +123,11 @@
     if not machine.token_acknowledged:
         if machine.unacknowledged_since is None:
             machine.unacknowledged_since = now
-        has_our_token = heartbeat.fencing_token == cluster.term
-        machine.token_may_be_inherited |= not seen_before and has_our_token
-        if has_our_token:
+        refuses_earlier_leaders = heartbeat.fencing_token >= cluster.term
+        # A token that is not ours was given in degraded mode, maybe by another controller.
+        has_other_token = heartbeat.fencing_token != cluster.fencing_token
+        machine.token_may_be_inherited |= refuses_earlier_leaders and (not seen_before or has_other_token)
+        if refuses_earlier_leaders:
             _acknowledge_token(cluster, machine, is_consecutive or not machine.token_may_be_inherited, now, "report")
     else:
         # A gap in the sequence does not prove that responses are lost: heartbeats cross with responses to direct calls,
--- a/sorrelsill/workers/machine_probes.py
+++ b/sorrelsill/workers/machine_probes.py
@@ -78,7 +78,7 @@
             if status != 200 or not self._leadership_valid():
                 return
             incarnation = parse_heartbeat(raw).incarnation
-            body = _encode(DirectCommands(cluster.term, incarnation, []))
+            body = _encode(DirectCommands(cluster.fencing_token, incarnation, []))
             status, raw = await self._connections.client(addr).request(
                 "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._leadership_valid
             )
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -464,6 +464,7 @@
                     "followed": known["followed"],
                     "fresh": known["fresh"],
                 },
+                "revision": simulation.store.rev,
             }
             assert reply.status == 200 and reply.body == orjson.dumps(expected)
             assert 0 < known["back"] <= 20.0
