--- a/sorrelsill/leadership/leader_elector.py
+++ b/sorrelsill/leadership/leader_elector.py
@@ -19,13 +19,13 @@
 
 import logging
 import random
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
 
 import trio
 
 from sorrelsill import constants
 from sorrelsill.events import log_event
+from sorrelsill.leadership.election import ControllerLabels, ElectionCallbacks
+from sorrelsill.leadership.fencing_token import FencingToken
 from sorrelsill.leadership.leader_key import LeaderKey
 from sorrelsill.leadership.leader_key_writer import KeyRewrite, LeaderKeyWriter
 from sorrelsill.leadership.watchdog import Watchdog
@@ -39,37 +39,6 @@
 _MIN_CAMPAIGN_WAIT_S = 0.02  # lower bound of the wait for `promised_until` and `no_campaign_before`
 
 
-@dataclass(frozen=True, slots=True)
-class ControllerLabels:
-    """The names of the controllers of a deployment, as used in the settings file and in messages."""
-
-    own: str
-    others: Sequence[str] = ()
-
-    def next_label(self) -> str | None:
-        """The controller that workers try after this one, or None if it is the only one.
-
-        Workers try the controllers in the numeric order of their labels."""
-        order = sorted({self.own, *self.others}, key=lambda label: (len(label), label))
-        return order[(order.index(self.own) + 1) % len(order)] if len(order) > 1 else None
-
-
-async def _no_other_candidates(former_leader: str) -> bool:
-    """The default callback, for a deployment with a single controller."""
-    return False
-
-
-@dataclass(frozen=True, slots=True)
-class ElectionCallbacks:
-    """Callbacks of the leader elector into its controller."""
-
-    on_term_changed: Callable[[int | None], None] = lambda term: None  # the new term, or None when a term ends
-    on_fencing_token_raised: Callable[[int], None] = lambda fencing_token: None  # the leader's new token
-    receives_no_heartbeats: Callable[[], bool] = lambda: False  # whether heartbeats of all workers have stopped
-    # Whether any controller other than the given former leader could acquire the key now.
-    has_other_candidates: Callable[[str], Awaitable[bool]] = _no_other_candidates
-
-
 class LeaderElector:
     """Campaigns for the leader key, renews its lease and resigns."""
 
@@ -96,9 +65,7 @@
         self._previous_leader: str | None = None
         self._resigned = False
         self.term: int | None = None
-        self.fencing_token: int | None = None  # of the leader: the revision of its last write of the leader key
-        self.highest_fencing_token = 0  # the highest one that this process has led with
-        self._fencing_token_requested_at = _NEVER
+        self._fencing_token = FencingToken()
         self._lease: int | None = None
         self.last_renewal_sent_at = _NEVER  # successful renewals only
         # This controller has promised its peers neither to acquire the key nor to act as leader before this time.
@@ -118,14 +85,19 @@
             self.term is not None
             and now - self.last_renewal_sent_at < self._timings.validity_s
             and now >= self.promised_until
-            and not self._is_fencing_token_outdated()
+            and not self._fencing_token.may_be_exceeded(self.promised_until)
             and not self._watchdog.stalled_loops()
         )
 
-    def _is_fencing_token_outdated(self) -> bool:
-        """Whether leases may have been renewed with a higher token than ours: a promise was in force after our token
-        was requested."""
-        return self.promised_until > self._fencing_token_requested_at
+    @property
+    def fencing_token(self) -> int | None:
+        """The leader's fencing token, which is the revision of its last write of the leader key; None for followers."""
+        return self._fencing_token.current
+
+    @property
+    def highest_fencing_token(self) -> int:
+        """The highest fencing token that this process has led with; 0 if it has never led."""
+        return self._fencing_token.highest
 
     def leader_label(self) -> str | None:
         """The label of the current leader according to the watch cache."""
@@ -182,7 +154,7 @@
         """Stop acting as leader at once, without revoking the lease of the key."""
         log_event(log, logging.INFO, "leading_ended", term=self.term, reason=reason)
         self.term = None
-        self.fencing_token = None
+        self._fencing_token.discard()
         self._lease = None
         self.last_renewal_sent_at = _NEVER
         self._store.set_leading(False)
@@ -227,7 +199,7 @@
         """Whether a higher token is needed and may be requested: no promise is in force, so no controller renews leases
         with a token derived from the new one, and the last renewal shows that the store is reachable."""
         return (
-            self._is_fencing_token_outdated()
+            self._fencing_token.may_be_exceeded(self.promised_until)
             and trio.current_time() >= self.promised_until
             and not self._validity_expired(self.last_renewal_sent_at)
         )
@@ -253,18 +225,14 @@
         if rewrite.key is None:
             self._step_down("the leader key is gone")
             return
-        self._set_fencing_token(rewrite.rev)
         if not rewrite.done:
+            self._fencing_token.adopt(rewrite.rev)
             return
-        self._fencing_token_requested_at = requested_at
+        self._fencing_token.set(rewrite.rev, requested_at)
         self._watch_cache.apply_change(LEADER, rewrite.key.to_stored(), rewrite.rev, True)
         log_event(log, logging.INFO, "fencing_token_raised", term=term, token=rewrite.rev)
         self._callbacks.on_fencing_token_raised(rewrite.rev)
 
-    def _set_fencing_token(self, fencing_token: int) -> None:
-        self.fencing_token = fencing_token
-        self.highest_fencing_token = max(self.highest_fencing_token, fencing_token)
-
     async def _renew(self, term: int, lease: int) -> None:
         """Renew the lease once, then sleep until the next renewal is due."""
         interval_s = self._timings.renewal_interval_s
@@ -289,7 +257,8 @@
 
     def _next_step_at(self, renewal_due_at: float) -> float:
         """When to renew the lease next, or earlier, when the fencing token may be raised."""
-        return min(renewal_due_at, self.promised_until) if self._is_fencing_token_outdated() else renewal_due_at
+        exceeded = self._fencing_token.may_be_exceeded(self.promised_until)
+        return min(renewal_due_at, self.promised_until) if exceeded else renewal_due_at
 
     def _record_renewal(self, sent_at: float) -> None:
         if sent_at - self.last_renewal_sent_at >= self._timings.validity_s:
@@ -391,8 +360,8 @@
 
     def _begin_term(self, term: int, key: LeaderKey, sent_at: float) -> None:
         self.term, self._lease = term, key.lease
-        self._set_fencing_token(term)
-        self.last_renewal_sent_at = self._fencing_token_requested_at = sent_at
+        self._fencing_token.set(term, sent_at)
+        self.last_renewal_sent_at = sent_at
         self._store.set_leading(True)
         self._watch_cache.apply_change(LEADER, key.to_stored(), term, True)
         log_event(
--- a/tests/scenarios/test_cancellation_in_outages.py
+++ b/tests/scenarios/test_cancellation_in_outages.py
@@ -11,8 +11,8 @@
 from sorrelsill import constants
 from sorrelsill.http import Request
 from tests.simulation import SimulatedCluster, run_scenario, service
+from tests.simulation.held_starts import other_controllers
 from tests.simulation.rules import CANCEL_S, LEASE_S
-from tests.simulation.users import LABELS
 
 
 async def start_services(simulation: SimulatedCluster, *to_cancel: str) -> str:
@@ -23,10 +23,6 @@
     return await simulation.until_leader()
 
 
-def other_controllers(leader: str) -> list[str]:
-    return [label for label in LABELS if label != leader]
-
-
 def drop_watch_responses(simulation: SimulatedCluster) -> None:
     """From now on watch responses are lost, so commits reach no other controller's watch cache."""
     simulation.net.drop_response = lambda src, dst, request: dst == "store" and request.path == "/follow"
