--- a/review/standins2/cloud.py
+++ b/review/standins2/cloud.py
@@ -27,9 +27,9 @@
 
 
 class Cloud:
-    """Rents machines up to a number of them; `boot` is called when one is up."""
+    """Rents machines up to a number of them in each zone; `boot` is called when one is up."""
 
-    def __init__(self, flavours: list[dict[str, Any]], capacity: int, boot_s: float, lag_s: float) -> None:
+    def __init__(self, flavours: list[dict[str, Any]], capacity: dict[str, int], boot_s: float, lag_s: float) -> None:
         self.machines: dict[str, Rental] = {}
         self.boot: Callable[[Rental], None] = lambda rental: None
         self.gone: Callable[[str], None] = lambda name: None
@@ -94,7 +94,8 @@
 
     def _rent(self, body: dict[str, Any]) -> Answer:
         if body["hireRef"] not in self._answered:
-            count = min(body["howMany"], 50, self._capacity - len(self.machines))
+            in_zone = sum(1 for machine in self.machines.values() if machine.region == body["region"])
+            count = min(body["howMany"], 50, self._capacity.get(body["region"], 0) - in_zone)
             if count <= 0:
                 return Answer(503, {"error": "no capacity"})
             rented = [self.add(body["flavour"], body["region"], body["reclaimable"]) for _ in range(count)]
--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -13,6 +13,7 @@
 import time
 import tomllib
 import traceback
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -40,7 +41,6 @@
     flavours: list[dict[str, Any]]
     up: list[tuple[str, str]]  # flavour and region of the machines that are up at the start
     teams: list[dict[str, Any]]
-    capacity: int | None = None  # machines in all; by default those that are up
     zones: tuple[str, ...] = ("bangna", "nonthaburi")
     report_s: float = 1.0
     lease_s: float = 11.0
@@ -87,15 +87,26 @@
         self._record = (case / "record.txt").open("w")
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.store = Store(*plan.state)
-        self.cloud = Cloud(plan.flavours, plan.capacity or len(plan.up), 20.0, 12.0)
+        # The cloud has no more machines of a zone than are up at the start.
+        self.cloud = Cloud(plan.flavours, Counter(region for _, region in plan.up), 20.0, 12.0)
         self.addresses = {label: f"127.0.0.1:{free_port()}" for label in _LABELS}
         self._peers = {label: f"127.0.0.1:{free_port()}" for label in _LABELS}
         self.workers: dict[str, Worker] = {}
         self.specs: dict[str, dict[str, Any]] = {}
         self.finish_now: set[str] = set()
         self.fail_once: set[str] = set()
+        self.results: set[str] = set()  # tasks that completed
         self._ports: dict[str, int] = {}
-        self._site = Site(plan.report_s, plan.lease_s, self.addresses, self.specs, set(), self.finish_now, self.fail_once, self.record)
+        self._site = Site(
+            plan.report_s,
+            plan.lease_s,
+            self.addresses,
+            self.specs,
+            results=self.results,
+            finish_now=self.finish_now,
+            fail_once=self.fail_once,
+            record=self.record,
+        )
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._background: set[asyncio.Task[Any]] = set()
         self.twice: list[str] = []  # tasks that started on one machine while they were on another
