--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -7,6 +7,7 @@
 import os
 import random
 import shlex
+import signal
 import subprocess
 import sys
 import tempfile
@@ -329,6 +330,7 @@
         finally:
             deployment.close()
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # so that the processes are ended in this case too
     with tempfile.TemporaryDirectory() as folder:
         try:
             code = asyncio.run(asyncio.wait_for(run(Path(folder)), _TIME_LIMIT_S))
