workers: log refused heartbeats and answered direct calls with their numbers and tokens

Nothing showed why a worker's heartbeats get 503, so a worker that restarted could not be told from late copies of its predecessor's messages. Both events are logged at debug level with incarnation, sequence number, fencing token and number of tasks.

--- a/sorrelsill/workers/heartbeats.py
+++ b/sorrelsill/workers/heartbeats.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import logging
+
+from sorrelsill.events import log_event
 from sorrelsill.workers.cluster_records import ClusterRecords
 from sorrelsill.workers.commands import response_commands
 from sorrelsill.workers.errors import FencedError
@@ -13,6 +16,8 @@
 from sorrelsill.workers.messages import Command, WorkerHeartbeat
 from sorrelsill.workers.reported_tasks import reconcile_tasks
 
+log = logging.getLogger(__name__)
+
 
 def on_heartbeat(
     cluster: ClusterRecords, heartbeat: WorkerHeartbeat, now: float, may_command: bool = True, jobs_fresh: bool = True
@@ -29,6 +34,7 @@
         return None
     machine = _get_or_add_machine(cluster, heartbeat, now)
     if not _is_current(machine, heartbeat):
+        _log_refused(machine, heartbeat)
         return None
     same_incarnation = heartbeat.incarnation == machine.incarnation
     overtaken = same_incarnation and heartbeat.sequence_number < machine.sequence_number
@@ -102,6 +108,23 @@
     return True
 
 
+def _log_refused(machine: Machine, heartbeat: WorkerHeartbeat) -> None:
+    """Log what distinguishes a late copy from a message of a restarted worker: the numbers, the token and the tasks."""
+    log_event(
+        log,
+        logging.DEBUG,
+        "heartbeat_refused",
+        machine=machine.name,
+        incarnation=heartbeat.incarnation,
+        sequence_number=heartbeat.sequence_number,
+        token=heartbeat.fencing_token,
+        tasks=len(heartbeat.tasks),
+        last_incarnation=machine.incarnation,
+        last_sequence_number=machine.heartbeat_sequence_number,
+        lease_expired=machine.lease_expired,
+    )
+
+
 def _respond_to_overtaken(
     cluster: ClusterRecords, machine: Machine, now: float, may_command: bool
 ) -> list[Command] | None:
--- a/sorrelsill/workers/worker_connections.py
+++ b/sorrelsill/workers/worker_connections.py
@@ -63,6 +63,16 @@
         except InvalidHeartbeatError as error:
             log_event(log, logging.INFO, "invalid_command_response", error=error)
             return
+        log_event(
+            log,
+            logging.DEBUG,
+            "direct_call_answered",
+            machine=heartbeat.machine,
+            incarnation=heartbeat.incarnation,
+            sequence_number=heartbeat.sequence_number,
+            token=heartbeat.fencing_token,
+            tasks=len(heartbeat.tasks),
+        )
         if self._leadership_valid():
             cluster.on_command_response(heartbeat, trio.current_time())
             self._on_response()
