degraded mode: a controller that received no heartbeat before an outage renews leases in it

What callers saw: a controller that lived through an outage alone refused every heartbeat with 503 (not_renewed), and all tasks ended with their leases, though its knowledge of cancellations was complete.

Cause: what our own watch cache proves was taken into account only when a heartbeat arrived. A controller that is younger than cancel_s and had received none had no starting point, so the lists of its peers proved nothing either, throughout the outage.

Evidence and fix: found while tracing test_controllers_restarted_in_an_outage_stop_no_task_at_once, which passed or failed with the workers' order of controllers. The watch cache is now also read before each exchange with a peer, so the lists connect to it. The new test fails on the code before (assert 0 == 4 running replicas) and passes now; tests/scenarios/test_store_failures.py: 10 passed.

--- a/sorrelsill/peers/degraded_mode.py
+++ b/sorrelsill/peers/degraded_mode.py
@@ -100,6 +100,10 @@
         now = trio.current_time()
         return any(now - at < 3 * constants.PROMISE_EVERY_S for at in self._reported_failing_at.values())
 
+    def _observe_watch_cache(self) -> None:
+        """Update what is certain to be known here. Heartbeats do so too, but this controller may have received none."""
+        self._cancellations.observe_watch_cache(self._watch_cache.followed_since, self._watch_cache.fresh_at)
+
     def _is_store_failing(self) -> bool:
         return self._store.failing_for() >= constants.PROMISE_AFTER_S
 
@@ -112,6 +116,7 @@
     def answer_promise_request(self, body: bytes) -> bytes:
         """Answer a peer that asks for a promise. The answer lists known cancellations even if no promise is given."""
         request = PromiseRequest.from_body(body)
+        self._observe_watch_cache()
         failing = self._is_store_failing()
         promised = request.promise and failing and not self._elector.acquiring
         if promised:
@@ -139,6 +144,7 @@
 
     async def _send_request(self, client: Client, promise: bool, timeout_s: float) -> PromiseAnswer | None:
         """Ask a peer for a promise, or only for the cancellations it knows. Returns None without a valid answer."""
+        self._observe_watch_cache()
         request = PromiseRequest(promise, self._cancellations.peer_request(trio.current_time()))
         try:
             status, body = await client.request("POST", "/promise", request.to_body(), timeout_s)
--- a/tests/scenarios/test_store_failures.py
+++ b/tests/scenarios/test_store_failures.py
@@ -109,6 +109,30 @@
     run_scenario(scenario)
 
 
+def test_controller_without_heartbeats_before_an_outage_renews_leases_in_it() -> None:
+    """Without its own watch cache as a starting point, the cancellations that the others list prove nothing to a young
+    controller. It took that into account only when it received a heartbeat."""
+
+    async def scenario(simulation: SimulatedCluster) -> None:
+        leader = await simulation.until_leader()
+        follower = next(label for label in simulation.controllers if label != leader)
+        simulation.on_boot = lambda name: simulation.net.refused.add((name, follower))
+        await simulation.run_service("run-s", shards=4)
+        simulation.store.begin_outage()
+        await trio.sleep(10)
+        others = [label for label in simulation.controllers if label != follower]
+        for label in others:
+            simulation.kill(label)
+        simulation.net.refused.clear()
+        await trio.sleep(4)
+        for label in others:
+            simulation.start(label)
+        await trio.sleep(20)
+        assert len(simulation.running("run-s")) == 4
+
+    run_scenario(scenario)
+
+
 def test_controllers_restarted_in_an_outage_stop_no_task_at_once() -> None:
     """The tasks run on until a cancellation that the crashed controllers may have confirmed would be overdue."""
 
