leadership: heartbeats that arrive during an election are answered when it is decided

What callers saw: after all controllers were down, tasks started up to 2 s after the new leader's election. A controller without a leader to name answered 421 without a label, and the worker waited for a second before it tried the next controller, which might not lead either.

Change: while the watch cache is fresh and names no leader, a heartbeat waits for the election, for HEARTBEAT_HOLD_S (2.5 s, below the 4 s after which workers drop an answer) at most. The lease that the answer renews counts from its sending, as always.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -98,6 +98,9 @@
 # probes; limit of probes in flight per socket of the quota; the quota grows with the fleet
 PROBES_PER_SOCKET: Final = 0.0125
 REPEATED_PROBES_SHARE: Final = 0.5  # ratio; of the limit of probes in flight, for machines that did not answer before
+# s; a heartbeat that arrives while there is no leader is answered after this long, or as soon as one is elected. It is
+# less than WORKER_DROPS_AFTER_S. A worker that is sent away without the leader's label waits 1 s before its next try.
+HEARTBEAT_HOLD_S: Final = 2.5
 OVERDUE_OF_HEARTBEAT: Final = 1.25  # ratio; of the heartbeat interval: longest regular time between two heartbeats
 # s; added to the longest regular interval; a machine whose heartbeat is overdue gets no new work and no calls
 OVERDUE_EXTRA_S: Final = 1.0
--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -245,7 +245,7 @@
         """Answers requests of users, workers, health checks and operators."""
         path = request.path
         if path == "/hello":
-            return self._heartbeat_routes.answer(request) if request.method == "POST" else Reply(405)
+            return await self._heartbeat_routes.answer(request) if request.method == "POST" else Reply(405)
         if path in ("/ready", "/state", "/metrics"):
             return self._handle_operator(path) if request.method == "GET" else Reply(405)
         return await self._user_routes.handle(request) or Reply(404)
--- a/sorrelsill/controller/heartbeat_routes.py
+++ b/sorrelsill/controller/heartbeat_routes.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sorrelsill import constants
 from sorrelsill.controller.components import ControllerComponents, jobs_are_fresh
 from sorrelsill.controller.encoding import encode
 from sorrelsill.events import log_event
@@ -49,7 +50,7 @@
         self._count_event = count_event
         self._on_heartbeat = on_heartbeat
 
-    def answer(self, request: Request) -> Reply:
+    async def answer(self, request: Request) -> Reply:
         """Answers one heartbeat."""
         try:
             heartbeat = parse_heartbeat(request.body)
@@ -57,6 +58,16 @@
             return Reply(400, encode({"error": str(error)}))
         self._count_event("reports")
         log.debug("heartbeat: %s", heartbeat)
+        if not self._elector.valid() and not self._degraded_mode.active() and self._election_is_open():
+            await self._elector.wait_for_leader(constants.HEARTBEAT_HOLD_S)
+        return self._answer_now(heartbeat)
+
+    def _election_is_open(self) -> bool:
+        """Whether there is certainly no leader now, so that one will soon be elected. The heartbeat then waits here: a
+        worker that is sent away without the leader's label tries another controller only a second later."""
+        return jobs_are_fresh(self._watch_cache) and self._elector.leader_label() is None
+
+    def _answer_now(self, heartbeat: WorkerHeartbeat) -> Reply:
         cluster = self._get_cluster()
         may_command = cluster is not None and self._elector.valid()
         if not may_command and not self._degraded_mode.active():
--- a/sorrelsill/leadership/leader_elector.py
+++ b/sorrelsill/leadership/leader_elector.py
@@ -104,6 +104,12 @@
         known = self._watch_cache.leader()
         return LeaderKey.from_stored(known[0]).label if known is not None else None
 
+    async def wait_for_leader(self, timeout_s: float) -> None:
+        """Return when this controller leads or the watch cache names another leader, or after `timeout_s` seconds."""
+        with trio.move_on_after(timeout_s):
+            while not self.valid() and self.leader_label() in (None, self._label):
+                await self._leader_key_changed.wait()
+
     @property
     def previous_leader(self) -> str | None:
         """The label of the leader before this controller; meaningful only while this controller leads."""
@@ -118,6 +124,9 @@
         if self.fencing_token is not None and rev > self.fencing_token and not self._is_own_key(value):
             # The key was deleted or changed hands: stop acting, even if the lease is still valid by the local clock.
             self._step_down("the leader key is gone")
+        self._notify_leader_changed()
+
+    def _notify_leader_changed(self) -> None:
         self._leader_key_changed.set()
         self._leader_key_changed = trio.Event()
 
@@ -374,3 +383,4 @@
             view_age_s=trio.current_time() - self._watch_cache.fresh_at,
         )
         self._callbacks.on_term_changed(term)
+        self._notify_leader_changed()
--- a/tests/scenarios/test_controller_restarts.py
+++ b/tests/scenarios/test_controller_restarts.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from sorrelsill.constants import HEARTBEAT_HOLD_S
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 from tests.simulation.rules import LEASE_S
 
@@ -182,3 +183,22 @@
         assert len(simulation.running("run-s")) == 4 and len(simulation.starts) == before
 
     run_scenario(scenario)
+
+
+def test_workers_are_answered_as_soon_as_a_leader_is_elected_after_all_were_down() -> None:
+    """Without holding their heartbeats during the election, controllers send workers away without a leader's label,
+    and each worker waits for a second before it tries the next one."""
+
+    async def scenario(simulation: SimulatedCluster) -> None:
+        await simulation.run_service("run-s", shards=12, vcpus=4.0)
+        simulation.kill_all()
+        await trio.sleep(3)
+        simulation.start_all()
+        await simulation.until(lambda: simulation.leader() is not None, 20)
+        elected_at = trio.current_time()
+        await trio.sleep(0.5)  # a worker that is redirected to the leader reports there after up to half a second
+        # The leases count from the sending of the heartbeats, which were held for up to HEARTBEAT_HOLD_S.
+        late = [w.name for w in simulation.workers.values() if w.lease_renewed_at < elected_at - HEARTBEAT_HOLD_S]
+        assert not late
+
+    run_scenario(scenario)
