workers: starts are sent only in answers to heartbeats

What callers saw: a task ran on two machines at once, and a cancelled task ran again. A copy of a start command that had been executed and answered reached its machine once more: after the machine had restarted within a second, or more than 120 s after the task had ended.

Cause: a worker executes a direct start whenever token and incarnation match and it does not hold the attempt. It drops the attempt when the leader clears it, which rested on a guess of 120 s, and when it restarts: then it has incarnation 1 and no token, and refuses nothing. No time, token or order of clearing prevents that, only a start that can't be copied.

Change: a start goes only in the answer to a heartbeat, which a worker gets once, on its own connection, and drops after 4 s. So that it need not wait for the next heartbeat, the leader sends a wake-up in a direct call: a start of wake-up/0, a task of no job, which every worker refuses and reports at once. Gone with the direct starts: unanswered starts, the start followed by a stop, the 120 s before a clear.

Tests that changed, each as strict as before: - test_held_starts.py and its soak run with leaders that also send direct starts, as the versions before this one do (tests/simulation/direct_starts.py): the rule for such starts stays, since such a controller may lead beside this version.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -72,9 +72,6 @@
 # tasks; a check stops once it has declared this many lost, so that it takes some 10 ms; the next check continues with
 # the other machines
 LOST_TASKS_PER_CHECK: Final = 600
-# s; a duplicate of a direct start command may reach the worker this late. The worker is told to clear the exited task
-# only after this time, since a duplicate that arrives after the task is cleared would run it again.
-DUPLICATE_START_S: Final = 120.0
 # s; minimum time for which a removed machine is remembered, to reject stale copies of its heartbeats: messages may be
 # minutes late
 TOMBSTONE_S: Final = 900.0
--- a/sorrelsill/workers/command_sender.py
+++ b/sorrelsill/workers/command_sender.py
@@ -1,9 +1,6 @@
-"""Sends commands to workers in direct calls, so that a start does not wait for the next heartbeat.
+"""Sends stops and wake-ups to workers in direct calls, so that they do not wait for the next heartbeat.
 
-A worker may execute such a command minutes late, as long as fencing token and incarnation still match. So an attempt
-whose direct start is unanswered stays uncertain: a heartbeat that does not list the attempt proves nothing, and the
-attempt is never cleared. To end such an attempt, the same start is sent again in a heartbeat response (whose commands
-cannot be executed late), followed by a stop."""
+A worker may execute such a call minutes late or twice, so it carries no starts (`commands.py`)."""
 
 from __future__ import annotations
 
@@ -18,14 +15,14 @@
 from sorrelsill import constants
 from sorrelsill.events import log_event
 from sorrelsill.http import Client, NoAnswerError, NotSentError
-from sorrelsill.workers.commands import has_direct_commands, mark_starts_answered, take_direct_commands
+from sorrelsill.workers.commands import has_direct_commands, take_direct_commands
 from sorrelsill.workers.machine_probes import MachineProbes
 from sorrelsill.workers.messages import DirectCommands
 from sorrelsill.workers.worker_connections import WorkerConnections, is_address
 
 if TYPE_CHECKING:
     from sorrelsill.workers.cluster_state import ClusterState
-    from sorrelsill.workers.machine import Attempt, Machine
+    from sorrelsill.workers.machine import Machine
 
 log = logging.getLogger(__name__)
 
@@ -66,8 +63,8 @@
         on_response: Callable[[], None] = lambda: None,
     ) -> None:
         """`client` returns an HTTP client for an address. `leadership_valid` tells whether we may command workers now,
-        `jobs_fresh` whether our view of the jobs is recent enough for starts. `on_response` is called after each
-        response that was applied to the cluster state."""
+        `jobs_fresh` whether our view of the jobs is recent enough for starts, without which no worker is woken up.
+        `on_response` is called after each response that was applied to the cluster state."""
         self._limits = limits
         self._leadership_valid = leadership_valid
         self._jobs_fresh = jobs_fresh
@@ -111,18 +108,17 @@
             body = _encode(DirectCommands(token, machine.incarnation, batch.commands))
             try:
                 status, raw = await self._connections.client(machine.addr).request(
-                    "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._may_send(batch.started)
+                    "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._leadership_valid
                 )
             except NotSentError as error:
-                mark_starts_answered(batch.started)
+                machine.wake_up_sent = False
                 self._connections.call_failed(machine.name, str(error))
                 return
             except NoAnswerError as error:
-                self._call_unanswered(machine, len(batch.started), token, error)
+                self._call_unanswered(machine, batch.wakes_up, token, error)
                 return
             if status in (200, 400, 409):
                 self._connections.pauses.call_answered(machine.name)
-                mark_starts_answered(batch.started)
                 self._connections.apply_response(cluster, raw)
             else:
                 self._connections.call_failed(machine.name, f"status {status}")
@@ -131,26 +127,20 @@
             if has_direct_commands(cluster, machine, True):
                 cluster.machines_with_pending_commands[machine.name] = machine
 
-    def _call_unanswered(self, machine: Machine, starts: int, token: int, error: NoAnswerError) -> None:
-        """The started attempts stay uncertain, and the machine gets no new work until it has shown that responses or
-        commands reach it."""
+    def _call_unanswered(self, machine: Machine, wakes_up: bool, token: int, error: NoAnswerError) -> None:
+        """The machine gets no new work until it has shown that responses or commands reach it."""
         machine.reachable = False
+        machine.wake_up_sent = False
         self._connections.call_failed(machine.name, str(error))
-        if starts:
-            log_event(
-                log,
-                logging.INFO,
-                "starts_unanswered",
-                machine=machine.name,
-                incarnation=machine.incarnation,
-                token=token,
-                starts=starts,
-            )
-
-    def _may_send(self, starts: list[Attempt]) -> Callable[[], bool]:
-        """Return a check whether commands may still be sent: while we lead and, if they include starts, while the view
-        of the jobs is fresh."""
-        return lambda: self._leadership_valid() and (not starts or self._jobs_fresh())
+        log_event(
+            log,
+            logging.INFO,
+            "direct_call_unanswered",
+            machine=machine.name,
+            incarnation=machine.incarnation,
+            token=token,
+            wakes_up=wakes_up,
+        )
 
 
 def _may_be_called(machine: Machine) -> bool:
--- a/sorrelsill/workers/heartbeats.py
+++ b/sorrelsill/workers/heartbeats.py
@@ -49,6 +49,7 @@
         machine.heartbeat_overdue = False
     if overtaken:
         return _respond_to_overtaken(cluster, machine, now, may_command)
+    machine.wake_up_sent = False
     _apply_newest(cluster, machine, heartbeat, is_consecutive, now)
     cluster.last_heartbeat_at = now
     if _receives_no_responses(cluster, machine, now):
@@ -56,7 +57,7 @@
         return None
     machine.lease_renewed_at = now
     reconcile_tasks(cluster, machine, heartbeat, now, True)
-    return response_commands(cluster, machine, jobs_fresh, now) if may_command else []
+    return response_commands(cluster, machine, jobs_fresh) if may_command else []
 
 
 def on_command_response(cluster: ClusterRecords, heartbeat: WorkerHeartbeat, now: float) -> None:
@@ -134,7 +135,7 @@
         return None
     machine.lease_renewed_at = cluster.last_heartbeat_at = now
     # No new starts, but stops: a response that renews a lease always includes the stops that are due.
-    return response_commands(cluster, machine, False, now) if may_command else []
+    return response_commands(cluster, machine, False) if may_command else []
 
 
 def _apply_newest(
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -72,12 +72,9 @@
     running_since: float | None = None
     stop_reason: str = ""
     exited: bool = False
-    unanswered_starts: int = 0  # start commands sent directly and not answered; the worker may still execute them
-    start_sent: bool = False
+    start_sent: bool = False  # in a response to a heartbeat
     stop_sent: bool = False
     may_be_cleared: bool = False  # its exit has been processed, so the worker may be told to clear it
-    # Not to be cleared earlier: a delayed duplicate of its direct start command would then run the task again.
-    clear_after: float = float("-inf")
     task_id: str = ""
 
     def __post_init__(self) -> None:
@@ -114,10 +111,8 @@
         self._on_usable_changed = on_usable_changed
         self.usable = False  # whether new tasks may be placed on it
         self.__dict__.update(_DEFAULTS)
-        self.machine_type = ""
-        self.zone = ""
+        self.machine_type = self.zone = self.addr = ""
         self.spot = False
-        self.addr = ""
         self.incarnation = 0
         self.sequence_number = -1
         # Of the last heartbeat; responses to direct calls are numbered in the same sequence.
@@ -135,6 +130,7 @@
         # message that acknowledged our fencing token or began an incarnation; before any of these, of the first
         # response to a direct call. None if there was none of these.
         self.lease_renewed_at: float | None = None
+        self.wake_up_sent = False  # in a direct call after its last heartbeat
         # Its attempts are certainly on it: it reported them with our term as its highest fencing token.
         self.attempts_verified = False
         self.attempts: dict[AttemptKey, Attempt] = {}
--- a/sorrelsill/workers/messages.py
+++ b/sorrelsill/workers/messages.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Final
 
 import msgspec
 
 from sorrelsill.workers.errors import InvalidHeartbeatError
 
+# A task of no job, since users' job IDs begin with "run-". A worker refuses its start and reports that without delay.
+WAKE_UP_TASK_ID: Final = "wake-up/0"
+
 
 class TaskPhase(StrEnum):
     """Phase of an attempt; the values are those on the wire. UNKNOWN stands for any other value and never leads
@@ -104,6 +108,12 @@
     attempt_number: int = msgspec.field(name="tryNo")
 
 
+def wake_up_command(attempt_number: int) -> StartCommand:
+    """Return a command that makes a worker send a heartbeat now. It may be repeated or arrive late without effect; its
+    attempt number must be new."""
+    return StartCommand(WAKE_UP_TASK_ID, attempt_number)
+
+
 class StopCommand(msgspec.Struct, frozen=True, tag_field="verb", tag="halt"):
     """Stop a task. The task saves a checkpoint first if the grace period (seconds) is long enough to write one."""
 
--- a/sorrelsill/workers/reported_tasks.py
+++ b/sorrelsill/workers/reported_tasks.py
@@ -93,8 +93,6 @@
     """Remove the attempts that the message does not report, where that proves that they are gone."""
     reported = {(status.task_id, status.attempt_number) for status in heartbeat.tasks}
     for attempt in [attempt for key, attempt in machine.attempts.items() if key not in reported]:
-        if attempt.unanswered_starts and not attempt.confirmed:
-            continue  # its direct start may still be executed, so its absence proves nothing
         if attempt.confirmed or (is_heartbeat and (attempt.exited or attempt.stop_requested)):
             # Cleared, lost, or stopped before it was ever started: this newer message proves that it is gone.
             cluster.attempts.remove(attempt)
--- a/sorrelsill/workers/task_exits.py
+++ b/sorrelsill/workers/task_exits.py
@@ -25,8 +25,6 @@
         return
     job = cluster.jobs.get(attempt.job_id)
     attempt.may_be_cleared = True
-    if attempt.start_sent:
-        attempt.clear_after = now + constants.DUPLICATE_START_S
     cluster.unbind(attempt, now)
     if job is not None:
         _note_exit(cluster, job, attempt, status, now)
--- a/tests/scenarios/test_delayed_messages.py
+++ b/tests/scenarios/test_delayed_messages.py
@@ -70,24 +70,6 @@
     run_scenario(scenario)
 
 
-def test_duplicate_direct_start_does_not_restart_stopped_task() -> None:
-    async def scenario(simulation: SimulatedCluster) -> None:
-        await simulation.run_service("run-0", shards=2, vcpus=1.0)
-        sent = record_messages(simulation, "/commands")
-        await simulation.run_service("run-s", shards=1, vcpus=1.0, sizeGb=0.0)
-        await simulation.cancel("run-s")
-        await simulation.until(lambda: not simulation.running("run-s"))
-        await trio.sleep(20)
-        duplicates = [s for s in sent if b"start" in s[2].body and b"run-s/0" in s[2].body]
-        assert duplicates
-        for item in duplicates:
-            await send_copy(simulation, item[1], item)
-        await trio.sleep(3)
-        assert len([s for s in simulation.starts if s[1] == "run-s/0"]) == 1
-
-    run_scenario(scenario)
-
-
 def test_direct_response_without_task_does_not_prove_that_start_in_flight_is_lost() -> None:
     """A heartbeat response carries the start command; a direct response sent before it arrives lacks the task."""
 
@@ -99,7 +81,7 @@
         machine = cluster.machines[name]
         now = trio.current_time()
         attempt = cluster.bind(cluster.jobs["run-0"], 0, machine, now, 1 << 60)
-        response_commands(cluster, machine, True, now)
+        response_commands(cluster, machine, True)
         attempt.stop_requested = True
         cluster.on_command_response(msgspec.convert(worker.heartbeat_message(), WorkerHeartbeat), now)
         assert attempt.key in machine.attempts
--- a/tests/scenarios/test_held_starts.py
+++ b/tests/scenarios/test_held_starts.py
@@ -3,8 +3,12 @@
 
 While no controller leads, the workers' leases are renewed by controllers that do not know which starts are in flight.
 In every scenario the simulation checks the protocol's rules; each test states what else must hold, above all that an
-outage through which the controllers live ends no task that was not cancelled."""
+outage through which the controllers live ends no task that was not cancelled.
 
+Leaders of this version send no starts in direct calls, those of the versions before it do. The leaders here do as well:
+the controllers beside such a leader have to keep its starts from beginning too late."""
+
+from collections.abc import Iterator
 from typing import Any
 
 import orjson
@@ -13,6 +17,7 @@
 
 from sorrelsill.http import Reply, Request
 from tests.simulation import SimulatedCluster, job, run_scenario
+from tests.simulation.direct_starts import starts_in_direct_calls
 from tests.simulation.held_starts import HeldStarts, one_task, other_controllers, was_started
 from tests.simulation.rules import CANCEL_S, LEASE_S
 from tests.simulation.users import LABELS
@@ -21,6 +26,12 @@
 SHORT_OUTAGE_S = 6.0  # s; shorter than a worker's lease
 
 
+@pytest.fixture(autouse=True)
+def _direct_starts() -> Iterator[None]:
+    with starts_in_direct_calls():
+        yield
+
+
 async def outage(simulation: SimulatedCluster, for_s: float = CANCEL_S + HELD_BEYOND_CANCEL_S) -> None:
     simulation.store.begin_outage()
     await trio.sleep(for_s)
@@ -233,7 +244,12 @@
         second = await simulation.until_leader()
         third = other_controllers(first, second)[0]
         if second_start_held:
+            elected_at = trio.current_time()
             await trio.sleep(2)
+            # The machines have spent most of their leases at the first leader, from which they are cut.
+            await simulation.until(
+                lambda: all(worker.lease_renewed_at > elected_at for worker in simulation.workers.values()), 10
+            )
             held.cut_machines_from(second)
             await held.submit(one_task("run-d"))
             await held.cancel("run-d", third)
--- a/tests/scenarios/test_preemption.py
+++ b/tests/scenarios/test_preemption.py
@@ -2,10 +2,17 @@
 
 import trio
 
+from sorrelsill import constants
 from sorrelsill.settings import Team
 from tests.simulation import SimulatedCluster, job, run_scenario, service
 
 
+async def notes(simulation: SimulatedCluster, job_id: str) -> list[str]:
+    """Return the notes on why the job's tasks stopped or wait."""
+    _, answer = await simulation.ask("n1", "GET", f"/v2/runs/{job_id}/why")
+    return list(answer["why"])
+
+
 def test_borrowed_capacity_is_preempted_for_a_deadline() -> None:
     """An array of a team without a guarantee uses every machine that the cloud has; the tasks that have run for the
     shortest time are preempted."""
@@ -55,7 +62,9 @@
         await simulation.submit(job("run-live", shape="standing", shards=2, rank="prod"))
         await simulation.until(lambda: len(simulation.running("run-live")) == 2, 10)
         assert trio.current_time() - submitted_at < 3
-        _, answer = await simulation.ask("n1", "GET", "/v2/runs/run-low/why")
-        assert any("making room for run-live" in note for note in answer["why"])
+        # The notes are stored with the job's next progress record.
+        with trio.fail_after(constants.PROGRESS_EVERY_S):
+            while not any("making room for run-live" in note for note in await notes(simulation, "run-low")):
+                await trio.sleep(0.1)
 
     run_scenario(scenario)
--- a/tests/simulation/simulated_cluster.py
+++ b/tests/simulation/simulated_cluster.py
@@ -219,6 +219,16 @@
                 worker._set_active(task_id, False)
             self.net.down.add(name)
 
+    async def restart_machine(self, name: str, down_s: float) -> FakeWorker:
+        """End a machine with all that is on it, and start it again after some seconds. Its new worker keeps name and
+        address and remembers nothing: it has no task and no fencing token, and begins with its first incarnation."""
+        before = self.workers[name]
+        self.kill_machine(name)
+        await trio.sleep(down_s)
+        self.net.down.discard(name)
+        self._boot(name, before.machine_type, before.zone, before.spot)
+        return self.workers[name]
+
     def cut_machine(self, name: str) -> None:
         for label in LABELS:
             self.net.cut(name, label)
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -84,6 +84,8 @@
         now = trio.current_time()
         self.expire_lease()
         for (task_id, attempt_number), task in list(self.tasks.items()):
+            if task["phase"] == "exited":
+                continue
             spec = self._spec(task_id)
             is_gang = spec["shape"] == "group"
             if task["phase"] == "pulling" and now >= task["at"] + spec["sizeGb"] / self.pull_rate:
@@ -113,13 +115,23 @@
             self.on_done(task_id)
         self._notify_change()
 
+    def _reason_to_refuse(self, task_id: str) -> str | None:
+        """Return the exit cause of a start that is refused, or None if the task may start."""
+        job_id, _, index = task_id.rpartition("/")
+        spec = self._specs.get(job_id)
+        if spec is None or int(index) >= spec["shards"]:
+            return "unknown"
+        if any(other == task_id and task["phase"] != "exited" for (other, _), task in self.tasks.items()):
+            return "busy"
+        return None
+
     def _execute(self, command: dict[str, Any]) -> None:
         key = (command["shard"], command["tryNo"])
         task = self.tasks.get(key)
         if command["verb"] == "start" and task is None:
-            other_attempts = [t for (s, _), t in self.tasks.items() if s == key[0] and t["phase"] != "exited"]
-            if other_attempts:
-                self.tasks[key] = {"phase": "exited", "exitCause": "busy"}
+            refusal = self._reason_to_refuse(key[0])
+            if refusal is not None:
+                self.tasks[key] = {"phase": "exited", "exitCause": refusal}
             else:
                 self.tasks[key] = {"phase": "pulling", "at": trio.current_time()}
             self._notify_change()
--- a/tests/soak/held_starts_soak.py
+++ b/tests/soak/held_starts_soak.py
@@ -1,6 +1,6 @@
 """Holds direct starts in the network while their jobs are cancelled and outages of the key-value store begin and end,
-and while the leader is frozen, restarted or deposed. One run per seed; the simulated cluster checks the protocol's
-rules."""
+and while the leader is frozen, restarted or deposed. The leaders send starts in direct calls, as those of the versions
+before this one do. One run per seed; the simulated cluster checks the protocol's rules."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import trio
 
 from tests.simulation import SimulatedCluster, run_scenario
+from tests.simulation.direct_starts import starts_in_direct_calls
 from tests.simulation.held_starts import HeldStarts, one_task, other_controllers
 from tests.simulation.rules import CANCEL_S, LEASE_S
 
@@ -147,7 +148,8 @@
 
     violations: tuple[str, ...] = ()
     try:
-        run_scenario(scenario, seed=seed)
+        with starts_in_direct_calls():
+            run_scenario(scenario, seed=seed)
     except (AssertionError, BaseExceptionGroup) as error:
         violations = tuple(simulations[0].violations) or (repr(error),)
     return RunResult(
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -93,11 +93,11 @@
         await trio.sleep(3)
         await simulation.cancel("run-s")
         await simulation.until(lambda: not simulation.running("run-s"))
-        start = {"verb": "start", "shard": "run-s/0", "tryNo": FIRST_ATTEMPT}
+        wake_up = {"verb": "start", "shard": "wake-up/0", "tryNo": FIRST_ATTEMPT + 1}
         halt = {"verb": "halt", "shard": "run-s/0", "tryNo": FIRST_ATTEMPT, "windDownS": 0.0}
         assert [request.method for request in requests] == ["POST", "POST"]
         assert [request.body for request in requests] == [
-            _encode({"epoch": 1, "tenure": 1, "orders": [start]}),
+            _encode({"epoch": 1, "tenure": 1, "orders": [wake_up]}),
             _encode({"epoch": 1, "tenure": 1, "orders": [halt]}),
         ]
 
@@ -112,10 +112,13 @@
         await simulation.until_phase("run-a", "done")
         await trio.sleep(10)
         answers = {(reply.status, reply.body) for _, _, request, reply in exchanges if request.path == "/hello"}
+        start = {"verb": "start", "shard": "run-a/0", "tryNo": FIRST_ATTEMPT}
         clear = {"verb": "clear", "shard": "run-a/0", "tryNo": FIRST_ATTEMPT}
+        clear_wake_up = {"verb": "clear", "shard": "wake-up/0", "tryNo": FIRST_ATTEMPT + 1}
         assert answers == {
             (421, _encode({"upstream": leader})),
             (200, _encode({"epoch": 1, "orders": []})),
+            (200, _encode({"epoch": 1, "orders": [start, clear_wake_up]})),
             (200, _encode({"epoch": 1, "orders": [clear]})),
         }
 
