workers: a restarted worker is recognised by its answer to a direct call

Tasks lost in such a restart ran again only after a lease.

Cause: a worker was identified by its name, incarnation and sequence number. A restarted worker begins again with incarnation 1 and 1, so its heartbeats were taken for late copies, and the machine's lease counted from the last heartbeat of the old worker.

A refused heartbeat that may come from a restarted worker makes the leader send such a call. From the proof on, only messages with a token count that was first given out after it; the leader rewrites its key for that with its next lease renewal, once for all machines that restarted meanwhile. The lease of the new worker counts from the proof, and the tasks of the old one are released when the new one has shown the token. A heartbeat with a lower token no longer begins a later incarnation by itself: its answer gives the worker the token.

--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -125,9 +125,11 @@
             self.watchdog.record_heartbeat(loop)
 
     def _on_fencing_token_raised(self, fencing_token: int) -> None:
-        """Called when this leader continues its term with a higher fencing token, after degraded mode."""
+        """Called when this leader continues its term with a higher fencing token, after degraded mode or for a worker
+        that restarted."""
         if self.cluster is not None:
-            self.cluster.fencing_token = fencing_token
+            self.cluster.on_fencing_token_raised(fencing_token)
+            self._wake_scheduler.set()
 
     def _log_failover(self, cluster: ClusterState) -> None:
         log_event(
@@ -343,6 +345,8 @@
             self._wake_scheduler.set()
         if self.membership is not None and cluster.counters.first_bound_at is not None:
             self.membership.first_task_started(cluster.counters.first_bound_at)
+        if cluster.needs_higher_token():
+            self.elector.request_higher_token()
         self.command_sender.start_due(cluster, self._nursery)
         self.command_sender.probe_unconfirmed(cluster, self._nursery)
         # CPU time is limited: sleep for as long as the cycle took, which leaves as much CPU time to requests.
--- a/sorrelsill/controller/heartbeat_routes.py
+++ b/sorrelsill/controller/heartbeat_routes.py
@@ -40,7 +40,7 @@
         on_heartbeat: Callable[[], None],
     ) -> None:
         """`get_cluster`: returns the cluster state of the current term, or None if this controller does not lead;
-        `on_heartbeat`: called after each heartbeat that was applied to the cluster state."""
+        `on_heartbeat`: called after each heartbeat that was passed to the cluster state."""
         self._watch_cache = components.watch_cache
         self._elector = components.elector
         self._degraded_mode = components.degraded_mode
@@ -84,15 +84,16 @@
             except FencedError as error:
                 self._elector.observe_fencing_token(error.fencing_token)
                 return Reply(421, encode({}))
+            self._on_heartbeat()
             if answer is None:
                 return Reply(503)
             commands = answer
-            self._on_heartbeat()
         if cluster is None or not may_command:
             return self._renew_in_degraded_mode(heartbeat, now)
-        # This heartbeat is newer than all earlier ones of the machine, so the worker owns this connection from now on,
-        # and its previous one is closed unless busy. A delayed duplicate was answered with 503 above.
-        return Reply(200, encode(HeartbeatResponse(cluster.fencing_token, commands)), owner=heartbeat.machine)
+        # If this heartbeat is the newest of the machine, the worker owns this connection from now on, and its previous
+        # one is closed unless busy. A late copy must not close the worker's connection.
+        owner = heartbeat.machine if cluster.is_newest(heartbeat) else ""
+        return Reply(200, encode(HeartbeatResponse(cluster.fencing_token, commands)), owner=owner)
 
     def _renew_in_degraded_mode(self, heartbeat: WorkerHeartbeat, now: float) -> Reply:
         """Renews the lease while no controller can lead. The response's fencing token is at least the worker's own, so
--- a/sorrelsill/leadership/leader_elector.py
+++ b/sorrelsill/leadership/leader_elector.py
@@ -66,6 +66,7 @@
         self._resigned = False
         self.term: int | None = None
         self._fencing_token = FencingToken()
+        self._higher_token_requested = False
         self._lease: int | None = None
         self.last_renewal_sent_at = _NEVER  # successful renewals only
         # This controller has promised its peers neither to acquire the key nor to act as leader before this time.
@@ -139,6 +140,10 @@
         if self.fencing_token is not None and fencing_token > self.fencing_token:
             self._step_down(f"a worker has seen fencing token {fencing_token}")
 
+    def request_higher_token(self) -> None:
+        """Have the leader key rewritten with the next lease renewal, to get a token that no worker has seen yet."""
+        self._higher_token_requested = True
+
     async def resign(self) -> None:
         """Stop leading and never campaign again: for a planned shutdown of the process."""
         self._resigned = True
@@ -208,7 +213,7 @@
         """Whether a higher token is needed and may be requested: no promise is in force, so no controller renews leases
         with a token derived from the new one, and the last renewal shows that the store is reachable."""
         return (
-            self._fencing_token.may_be_exceeded(self.promised_until)
+            (self._higher_token_requested or self._fencing_token.may_be_exceeded(self.promised_until))
             and trio.current_time() >= self.promised_until
             and not self._validity_expired(self.last_renewal_sent_at)
         )
@@ -238,6 +243,7 @@
             self._fencing_token.adopt(rewrite.rev)
             return
         self._fencing_token.set(rewrite.rev, requested_at)
+        self._higher_token_requested = False
         self._watch_cache.apply_change(LEADER, rewrite.key.to_stored(), rewrite.rev, True)
         log_event(log, logging.INFO, "fencing_token_raised", term=term, token=rewrite.rev)
         self._callbacks.on_fencing_token_raised(rewrite.rev)
@@ -369,6 +375,7 @@
 
     def _begin_term(self, term: int, key: LeaderKey, sent_at: float) -> None:
         self.term, self._lease = term, key.lease
+        self._higher_token_requested = False
         self._fencing_token.set(term, sent_at)
         self.last_renewal_sent_at = sent_at
         self._store.set_leading(True)
--- a/sorrelsill/workers/cluster_records.py
+++ b/sorrelsill/workers/cluster_records.py
@@ -32,6 +32,7 @@
 from sorrelsill.workers.machine import Attempt, Machine
 from sorrelsill.workers.machine_table import MachineTable
 from sorrelsill.workers.pending_writes import PendingWrites
+from sorrelsill.workers.restarted_machines import RestartedMachines
 from sorrelsill.workers.team_usage import TeamUse
 from sorrelsill.workers.term_counters import TermCounters
 from sorrelsill.workers.tombstones import Tombstones
@@ -60,8 +61,7 @@
         self.term_began_at = now
         self.catalog = catalog
         self.loss_s = loss_s
-        # Time in seconds within which a gang's tasks notice that one of them is gone, and within which all of them
-        # have to be told to stop for a checkpoint to succeed.
+        # s; a gang's tasks notice within this time that one is gone; a checkpoint needs all stops within it
         self.gang_peer_s = gang_peer_s
         self.failover = FailoverReconciliation()
         self.leases = LeaseMonitor(now, loss_s, validity_s, overdue_s, self.failover)
@@ -79,6 +79,7 @@
         self._allocations = Allocations(self.index)
         self.bound_usage = self._allocations.by_team
         self.tombstones = Tombstones()
+        self.restarts = RestartedMachines()
         self.pending_writes = PendingWrites()
         self.last_heartbeat_at: float | None = None  # receipt time of the term's last heartbeat from any worker
         self.wake_scheduler = True
@@ -211,13 +212,17 @@
     def release_all(self, machine: Machine, now: float, reason: str) -> None:
         """Release all attempts of the machine, which are proved gone."""
         for attempt in list(machine.attempts.values()):
-            job = self.jobs.get(attempt.job_id)
-            if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
-                job.note(f"task {attempt.index}: {reason} ({machine.name})")
+            self.note_loss(attempt, reason)
             self.attempts.remove(attempt)
             self.unbind(attempt, now)
         self._allocations.clear(machine)
 
+    def note_loss(self, attempt: Attempt, reason: str) -> None:
+        """Tell the users of the job why its task is no longer on the machine; without effect if the task has exited."""
+        job = self.jobs.get(attempt.job_id)
+        if job is not None and not attempt.exited and job.bound.get(attempt.index) is attempt:
+            job.note(f"task {attempt.index}: {reason} ({attempt.machine.name})")
+
     # --- machines ---
 
     def set_catalog(self, catalog: Catalog) -> None:
@@ -260,6 +265,7 @@
         """Discard the pending commands, reclaim notice and pending registration of a machine that is gone, and remove
         the machine from those with tasks of unknown jobs."""
         self._machine_table.discard_pending(name)
+        self.restarts.discard(name)
         self.attempts.machines_with_unknown_tasks.pop(name, None)
         self.pending_writes.registration_not_due(name)
 
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -11,6 +11,7 @@
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Attempt, Machine
 from sorrelsill.workers.messages import Command, WorkerHeartbeat
+from sorrelsill.workers.restarts import MachineSnapshot
 
 
 class ClusterState(ClusterRecords):
@@ -26,11 +27,37 @@
         self._watch_if_new(heartbeat.machine)
         return commands
 
-    def on_command_response(self, heartbeat: WorkerHeartbeat, now: float) -> None:
-        """Process the worker's state that its response to a direct call contains."""
-        heartbeats.on_command_response(self, heartbeat, now)
+    def is_newest(self, heartbeat: WorkerHeartbeat) -> bool:
+        """Whether this is the newest heartbeat accepted from its machine."""
+        machine = self.machines.get(heartbeat.machine)
+        return machine is not None and (machine.incarnation, machine.heartbeat_sequence_number) == (
+            heartbeat.incarnation,
+            heartbeat.sequence_number,
+        )
+
+    def on_command_response(
+        self, heartbeat: WorkerHeartbeat, now: float, snapshot: MachineSnapshot | None = None
+    ) -> None:
+        """Process the worker's state that its response to a direct call contains. `snapshot`: what was known of the
+        machine when the call was sent."""
+        heartbeats.on_command_response(self, heartbeat, now, snapshot)
         self._watch_if_new(heartbeat.machine)
 
+    def on_fencing_token_raised(self, fencing_token: int) -> None:
+        """Continue the term with a higher fencing token."""
+        self.fencing_token = fencing_token
+        self.restarts.token_raised(fencing_token)
+        self.wake_scheduler = True
+
+    def needs_higher_token(self) -> bool:
+        """Whether a restarted worker has to show a token that was not given out yet."""
+        return self.restarts.required_token > self.fencing_token
+
+    def snapshot(self, name: str) -> MachineSnapshot | None:
+        """What is known of a machine, to compare it with the response to a direct call that is sent now."""
+        machine = self.machines.get(name)
+        return MachineSnapshot.of(machine) if machine is not None else None
+
     def _watch_if_new(self, name: str) -> None:
         """Set the machine's lease timer if it has none.
 
--- a/sorrelsill/workers/command_sender.py
+++ b/sorrelsill/workers/command_sender.py
@@ -18,6 +18,7 @@
 from sorrelsill.workers.commands import has_direct_commands, take_direct_commands
 from sorrelsill.workers.machine_probes import MachineProbes
 from sorrelsill.workers.messages import DirectCommands
+from sorrelsill.workers.restart_probes import RestartProbes
 from sorrelsill.workers.worker_connections import WorkerConnections, is_address
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
         self._connections = WorkerConnections(client, limits.connections, leadership_valid, on_response)
         self._busy = self._connections.busy
         self._probes = MachineProbes(self._connections, leadership_valid, limits.probes)
+        self._restart_probes = RestartProbes(self._connections, leadership_valid)
 
     def start_due(self, cluster: ClusterState, nursery: trio.Nursery) -> None:
         """Start a call to each machine that has commands not sent yet, up to the limit."""
@@ -79,7 +81,7 @@
             return
         jobs_fresh = self._jobs_fresh()
         for machine in list(cluster.machines_with_pending_commands.values()):
-            if len(self._busy) - self._probes.in_flight >= self._limits.commands:
+            if len(self._busy) - self._probes.in_flight - self._restart_probes.in_flight >= self._limits.commands:
                 return
             if machine.name in self._busy or self._connections.pauses.is_paused(
                 machine.name, now, machine.last_seen_at
@@ -94,8 +96,10 @@
                 nursery.start_soon(self._send_commands, cluster, machine)
 
     def probe_unconfirmed(self, cluster: ClusterState, nursery: trio.Nursery) -> None:
-        """Start the probes of unconfirmed machines that are due after a failover."""
+        """Start the probes that are due: of unconfirmed machines after a failover, and of machines whose worker may
+        have restarted."""
         self._probes.start_due(cluster, nursery)
+        self._restart_probes.start_due(cluster, nursery)
 
     async def _send_commands(self, cluster: ClusterState, machine: Machine) -> None:
         try:
@@ -106,6 +110,7 @@
                 return
             token = cluster.fencing_token
             body = _encode(DirectCommands(token, machine.incarnation, batch.commands))
+            snapshot = cluster.snapshot(machine.name)
             try:
                 status, raw = await self._connections.client(machine.addr).request(
                     "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._leadership_valid
@@ -119,7 +124,7 @@
                 return
             if status in (200, 400, 409):
                 self._connections.pauses.call_answered(machine.name)
-                self._connections.apply_response(cluster, raw)
+                self._connections.apply_response(cluster, raw, snapshot)
             else:
                 self._connections.call_failed(machine.name, f"status {status}")
         finally:
--- a/sorrelsill/workers/heartbeats.py
+++ b/sorrelsill/workers/heartbeats.py
@@ -15,6 +15,13 @@
 from sorrelsill.workers.machine import Machine
 from sorrelsill.workers.messages import Command, WorkerHeartbeat
 from sorrelsill.workers.reported_tasks import reconcile_tasks
+from sorrelsill.workers.restarts import (
+    MachineSnapshot,
+    begin_restarted_worker,
+    comes_from_another_worker,
+    may_be_restarted,
+    stop_all_tasks,
+)
 
 log = logging.getLogger(__name__)
 
@@ -33,9 +40,28 @@
     if _is_from_removed_machine(cluster, heartbeat):
         return None
     machine = _get_or_add_machine(cluster, heartbeat, now)
+    if heartbeat.fencing_token < machine.required_token:
+        if machine.token_acknowledged:
+            return None  # a late copy: the present worker has shown the token
+        return stop_all_tasks(heartbeat) if may_command else []
+    if comes_from_another_worker(machine, heartbeat):
+        _on_refused(cluster, machine, heartbeat, now)
+        return stop_all_tasks(heartbeat) if may_command else []
     if not _is_current(machine, heartbeat):
-        _log_refused(machine, heartbeat)
+        _on_refused(cluster, machine, heartbeat, now)
         return None
+    return _on_current_heartbeat(cluster, machine, heartbeat, now, may_command, jobs_fresh)
+
+
+def _on_current_heartbeat(
+    cluster: ClusterRecords,
+    machine: Machine,
+    heartbeat: WorkerHeartbeat,
+    now: float,
+    may_command: bool,
+    jobs_fresh: bool,
+) -> list[Command] | None:
+    """Process a heartbeat that is newer than all earlier ones of the machine."""
     same_incarnation = heartbeat.incarnation == machine.incarnation
     overtaken = same_incarnation and heartbeat.sequence_number < machine.sequence_number
     # A worker that gets no 200 from us tries the next controller. So a heartbeat that directly follows the last message
@@ -60,13 +86,19 @@
     return response_commands(cluster, machine, jobs_fresh) if may_command else []
 
 
-def on_command_response(cluster: ClusterRecords, heartbeat: WorkerHeartbeat, now: float) -> None:
+def on_command_response(
+    cluster: ClusterRecords, heartbeat: WorkerHeartbeat, now: float, snapshot: MachineSnapshot | None = None
+) -> None:
     """Process a worker's state from its response to a direct call. It renews no lease. It may be older than a heartbeat
     response that is still in flight, so tasks that it does not list may still be started: their absence proves less
-    than in a heartbeat."""
+    than in a heartbeat. `snapshot`: what was known of the machine when the call was sent."""
     if heartbeat.fencing_token > cluster.fencing_token or _is_from_removed_machine(cluster, heartbeat):
         return
     machine = _get_or_add_machine(cluster, heartbeat, now)
+    if snapshot is not None and snapshot.sender_has_ended(heartbeat, machine):
+        begin_restarted_worker(cluster, machine, heartbeat, now)
+    if heartbeat.fencing_token < machine.required_token:
+        return
     if (heartbeat.incarnation, heartbeat.sequence_number) <= (machine.incarnation, machine.sequence_number):
         return
     if machine.lease_expired and heartbeat.incarnation == machine.incarnation:
@@ -109,8 +141,12 @@
     return True
 
 
-def _log_refused(machine: Machine, heartbeat: WorkerHeartbeat) -> None:
-    """Log what distinguishes a late copy from a message of a restarted worker: the numbers, the token and the tasks."""
+def _on_refused(cluster: ClusterRecords, machine: Machine, heartbeat: WorkerHeartbeat, now: float) -> None:
+    """Have the machine called if its worker may have restarted. The log names what distinguishes a late copy from a
+    message of a restarted worker: the numbers, the token and the tasks."""
+    if may_be_restarted(cluster, machine, heartbeat, now):
+        cluster.restarts.suspect(machine)
+        cluster.wake_scheduler = True
     log_event(
         log,
         logging.DEBUG,
@@ -180,6 +216,7 @@
     if heartbeat.incarnation > machine.incarnation:
         _begin_incarnation(cluster, machine, heartbeat.incarnation, now)
     machine.sequence_number = heartbeat.sequence_number
+    machine.reported_token = max(machine.reported_token, heartbeat.fencing_token)
     if heartbeat.spot_reclaim_in_s is not None:
         machine.spot_reclaim_at = now + heartbeat.spot_reclaim_in_s
         cluster.machines_with_reclaim_notice[machine.name] = machine
@@ -208,6 +245,7 @@
     if machine.token_acknowledged:
         return
     machine.token_acknowledged = True
+    cluster.restarts.discard(machine.name)
     machine.unacknowledged_since = None
     machine.reachable = reachable
     # The lease counts from now: the machine may get work from now on, and its incarnation may have begun just now.
--- a/sorrelsill/workers/machine.py
+++ b/sorrelsill/workers/machine.py
@@ -117,6 +117,8 @@
         self.sequence_number = -1
         # Of the last heartbeat; responses to direct calls are numbered in the same sequence.
         self.heartbeat_sequence_number = -1
+        self.reported_token = -1  # the highest fencing token that its worker has reported
+        self.required_token = 0  # messages with a lower one may come from a worker that ended before the present one
         self.has_sent_heartbeat = False  # in this term
         # Time of its last heartbeat, or, before the first one of this term, when it first became known.
         self.last_seen_at = float("-inf")
--- a/sorrelsill/workers/machine_probes.py
+++ b/sorrelsill/workers/machine_probes.py
@@ -79,11 +79,12 @@
                 return
             incarnation = parse_heartbeat(raw).incarnation
             body = _encode(DirectCommands(cluster.fencing_token, incarnation, []))
+            snapshot = cluster.snapshot(name)
             status, raw = await self._connections.client(addr).request(
                 "POST", "/commands", body, constants.COMMAND_TIMEOUT_S, may_send=self._leadership_valid
             )
             if status in (200, 409):
-                self._connections.apply_response(cluster, raw)
+                self._connections.apply_response(cluster, raw, snapshot)
         except (NotSentError, NoAnswerError, InvalidHeartbeatError) as error:
             self._connections.call_failed(name, str(error))
         finally:
--- a/sorrelsill/workers/reported_tasks.py
+++ b/sorrelsill/workers/reported_tasks.py
@@ -95,5 +95,7 @@
     for attempt in [attempt for key, attempt in machine.attempts.items() if key not in reported]:
         if attempt.confirmed or (is_heartbeat and (attempt.exited or attempt.stop_requested)):
             # Cleared, lost, or stopped before it was ever started: this newer message proves that it is gone.
+            if not attempt.stop_requested:
+                cluster.note_loss(attempt, "lost when the worker restarted")
             cluster.attempts.remove(attempt)
             cluster.unbind(attempt, now)
--- a/sorrelsill/workers/worker_connections.py
+++ b/sorrelsill/workers/worker_connections.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from sorrelsill.workers.cluster_state import ClusterState
+    from sorrelsill.workers.restarts import MachineSnapshot
 
 log = logging.getLogger(__name__)
 
@@ -56,8 +57,9 @@
         self._clients.move_to_end(addr)
         return client
 
-    def apply_response(self, cluster: ClusterState, raw: bytes) -> None:
-        """Update the cluster state from the machine's response, unless we are no longer the leader."""
+    def apply_response(self, cluster: ClusterState, raw: bytes, snapshot: MachineSnapshot | None) -> None:
+        """Update the cluster state from the machine's response, unless we are no longer the leader. `snapshot`: what
+        was known of the machine when the call was sent; None if nothing was."""
         try:
             heartbeat = parse_heartbeat(raw)
         except InvalidHeartbeatError as error:
@@ -74,7 +76,7 @@
             tasks=len(heartbeat.tasks),
         )
         if self._leadership_valid():
-            cluster.on_command_response(heartbeat, trio.current_time())
+            cluster.on_command_response(heartbeat, trio.current_time(), snapshot)
             self._on_response()
 
     def call_failed(self, name: str, reason: str) -> None:
