controller: the answer to a heartbeat waits for the scheduling cycle that the heartbeat causes

What callers saw: with starts only in answers to heartbeats, a machine whose task ended got its next one half a second later. The heartbeat that reported the end was answered before the scheduler had used the free capacity, and workers send heartbeats 0.5 s apart at the least.

Change: if the newest heartbeat of a machine gives the scheduler something to do, its answer waits for the end of the next scheduling cycle, for START_HOLD_S (0.25 s) at most, and carries the commands that are due then. Validity of the leader is checked again before the answer.

--- a/sorrelsill/constants.py
+++ b/sorrelsill/constants.py
@@ -98,6 +98,9 @@
 # s; a heartbeat that arrives while there is no leader is answered after this long, or as soon as one is elected. It is
 # less than WORKER_DROPS_AFTER_S. A worker that is sent away without the leader's label waits 1 s before its next try.
 HEARTBEAT_HOLD_S: Final = 2.5
+# s; the answer to a heartbeat waits for the next scheduling cycle for this long at most. Workers send their next
+# heartbeat no earlier than 0.5 s after the last one, so the wait delays none.
+START_HOLD_S: Final = 0.25
 OVERDUE_OF_HEARTBEAT: Final = 1.25  # ratio; of the heartbeat interval: longest regular time between two heartbeats
 # s; added to the longest regular interval; a machine whose heartbeat is overdue gets no new work and no calls
 OVERDUE_EXTRA_S: Final = 1.0
--- a/sorrelsill/controller/controller.py
+++ b/sorrelsill/controller/controller.py
@@ -14,7 +14,7 @@
 from sorrelsill import constants
 from sorrelsill.controller.components import ControllerCallbacks, Environment, build_components
 from sorrelsill.controller.encoding import encode
-from sorrelsill.controller.heartbeat_routes import HeartbeatRoutes
+from sorrelsill.controller.heartbeat_routes import HeartbeatCallbacks, HeartbeatRoutes
 from sorrelsill.controller.leader_term import LeaderTerm
 from sorrelsill.controller.operator_state import controller_state, team_states
 from sorrelsill.controller.user_routes import UserRoutes
@@ -51,6 +51,7 @@
         self._stored_catalog: Any = None  # as stored in the key-value store
         self.counts: dict[str, int] = {}
         self._wake_scheduler = trio.Event()
+        self._cycle_done = trio.Event()
         self._draining = False  # a planned shutdown has begun
         self.tick_s = operator.tick_s or constants.SCHEDULING_INTERVAL_S
         environment = Environment(settings, operator, rng, make_client, wall_clock, membership)
@@ -69,9 +70,7 @@
         self.command_sender = components.command_sender
         self.membership = components.membership
         self._user_routes = UserRoutes(self.admission, self.watch_cache, self._count_event)
-        self._heartbeat_routes = HeartbeatRoutes(
-            components, lambda: self.cluster, self._count_event, self._wake_scheduler_if_needed
-        )
+        self._heartbeat_routes = HeartbeatRoutes(components, self._heartbeat_callbacks())
         self.watch_cache.listeners.append(self._on_key_changed)
 
     def _callbacks(self) -> ControllerCallbacks:
@@ -87,6 +86,14 @@
             count_event=self._count_event,
         )
 
+    def _heartbeat_callbacks(self) -> HeartbeatCallbacks:
+        return HeartbeatCallbacks(
+            get_cluster=lambda: self.cluster,
+            count_event=self._count_event,
+            on_heartbeat=self._wake_scheduler_if_needed,
+            wait_for_cycle=self._wait_for_cycle,
+        )
+
     @property
     def cluster(self) -> ClusterState | None:
         """The cluster state of the current term, or None if this controller does not lead."""
@@ -177,6 +184,11 @@
             on_drain=self._request_scheduling_cycle,
         )
 
+    async def _wait_for_cycle(self, timeout_s: float) -> None:
+        """Return when the next scheduling cycle is done, or after `timeout_s` seconds."""
+        with trio.move_on_after(timeout_s):
+            await self._cycle_done.wait()
+
     def _request_scheduling_cycle(self) -> None:
         # A method, not the bound `set` of the event, since every scheduling cycle replaces the event.
         self._wake_scheduler.set()
@@ -343,6 +355,8 @@
         cluster.wake_scheduler = False
         if not self.scheduler.run_cycle(cluster, now, trio.current_time, constants.CYCLE_BUDGET_S) or lost:
             self._wake_scheduler.set()
+        self._cycle_done.set()
+        self._cycle_done = trio.Event()
         if self.membership is not None and cluster.counters.first_bound_at is not None:
             self.membership.first_task_started(cluster.counters.first_bound_at)
         if cluster.needs_higher_token():
--- a/sorrelsill/controller/heartbeat_routes.py
+++ b/sorrelsill/controller/heartbeat_routes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -29,26 +30,30 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatCallbacks:
+    """The functions of the controller that the route calls."""
+
+    get_cluster: Callable[[], ClusterState | None]  # of the current term; None if this controller does not lead
+    count_event: Callable[[str], None]
+    on_heartbeat: Callable[[], None]  # called after each heartbeat that was passed to the cluster state
+    # returns when the next scheduling cycle is done, or after the given number of seconds
+    wait_for_cycle: Callable[[float], Awaitable[None]]
+
+
 class HeartbeatRoutes:
     """The HTTP route for workers' heartbeats."""
 
-    def __init__(
-        self,
-        components: ControllerComponents,
-        get_cluster: Callable[[], ClusterState | None],
-        count_event: Callable[[str], None],
-        on_heartbeat: Callable[[], None],
-    ) -> None:
-        """`get_cluster`: returns the cluster state of the current term, or None if this controller does not lead;
-        `on_heartbeat`: called after each heartbeat that was passed to the cluster state."""
+    def __init__(self, components: ControllerComponents, callbacks: HeartbeatCallbacks) -> None:
         self._watch_cache = components.watch_cache
         self._elector = components.elector
         self._degraded_mode = components.degraded_mode
         self._cancellations = components.cancellations
         self._peer_labels = {member.label for member in components.settings.members}
-        self._get_cluster = get_cluster
-        self._count_event = count_event
-        self._on_heartbeat = on_heartbeat
+        self._get_cluster = callbacks.get_cluster
+        self._count_event = callbacks.count_event
+        self._on_heartbeat = callbacks.on_heartbeat
+        self._wait_for_cycle = callbacks.wait_for_cycle
 
     async def answer(self, request: Request) -> Reply:
         """Answers one heartbeat."""
@@ -58,42 +63,63 @@
             return Reply(400, encode({"error": str(error)}))
         self._count_event("reports")
         log.debug("heartbeat: %s", heartbeat)
-        if not self._elector.valid() and not self._degraded_mode.active() and self._election_is_open():
+        if not self._elector.valid() and not self._degraded_mode.active():
+            await self._wait_for_election()
+        cluster = self._get_cluster()
+        if cluster is not None and self._elector.valid():
+            return await self._answer_as_leader(cluster, heartbeat)
+        return self._answer_without_leading(cluster, heartbeat)
+
+    async def _wait_for_election(self) -> None:
+        """Waits while there is certainly no leader, so that one will soon be elected. A worker that is sent away
+        without the leader's label tries another controller only a second later."""
+        if jobs_are_fresh(self._watch_cache) and self._elector.leader_label() is None:
             await self._elector.wait_for_leader(constants.HEARTBEAT_HOLD_S)
-        return self._answer_now(heartbeat)
 
-    def _election_is_open(self) -> bool:
-        """Whether there is certainly no leader now, so that one will soon be elected. The heartbeat then waits here: a
-        worker that is sent away without the leader's label tries another controller only a second later."""
-        return jobs_are_fresh(self._watch_cache) and self._elector.leader_label() is None
+    async def _answer_as_leader(self, cluster: ClusterState, heartbeat: WorkerHeartbeat) -> Reply:
+        """Processes a heartbeat and answers it with the commands for its worker. If the heartbeat gives the scheduler
+        something to do, the answer waits for the next scheduling cycle, whose starts it then carries."""
+        now = trio.current_time()
+        if not self._may_renew(now):
+            return self._not_renewed()
+        try:
+            commands = cluster.on_heartbeat(heartbeat, now, True, jobs_are_fresh(self._watch_cache))
+        except FencedError as error:
+            self._elector.observe_fencing_token(error.fencing_token)
+            return Reply(421, encode({}))
+        self._on_heartbeat()
+        if commands is None:
+            return Reply(503)
+        is_newest = cluster.is_newest(heartbeat)
+        if is_newest and cluster.wake_scheduler:
+            await self._wait_for_cycle(constants.START_HOLD_S)
+            if self._get_cluster() is not cluster or not self._elector.valid():
+                return self._redirect()
+            if cluster.is_newest(heartbeat):
+                commands = cluster.commands_for(heartbeat.machine, jobs_are_fresh(self._watch_cache))
+        # The worker owns this connection from now on, and its previous one is closed unless busy. A late copy must not
+        # close the worker's connection.
+        owner = heartbeat.machine if is_newest else ""
+        return Reply(200, encode(HeartbeatResponse(cluster.fencing_token, commands)), owner=owner)
 
-    def _answer_now(self, heartbeat: WorkerHeartbeat) -> Reply:
-        cluster = self._get_cluster()
-        may_command = cluster is not None and self._elector.valid()
-        if not may_command and not self._degraded_mode.active():
+    def _answer_without_leading(self, cluster: ClusterState | None, heartbeat: WorkerHeartbeat) -> Reply:
+        """Renews the worker's lease in degraded mode; otherwise sends the worker to the leader."""
+        if not self._degraded_mode.active():
             return self._redirect()
         now = trio.current_time()
         if not self._may_renew(now):
-            # A recent cancellation may be unknown here. The worker tries the next controller, which may know it.
-            self._count_event("not_renewed")
-            return Reply(503)
-        commands: list[Command] = []
+            return self._not_renewed()
         if cluster is not None:
-            try:
-                answer = cluster.on_heartbeat(heartbeat, now, may_command, jobs_are_fresh(self._watch_cache))
-            except FencedError as error:
-                self._elector.observe_fencing_token(error.fencing_token)
-                return Reply(421, encode({}))
+            commands = cluster.on_heartbeat(heartbeat, now, False, jobs_are_fresh(self._watch_cache))
             self._on_heartbeat()
-            if answer is None:
+            if commands is None:
                 return Reply(503)
-            commands = answer
-        if cluster is None or not may_command:
-            return self._renew_in_degraded_mode(heartbeat, now)
-        # If this heartbeat is the newest of the machine, the worker owns this connection from now on, and its previous
-        # one is closed unless busy. A late copy must not close the worker's connection.
-        owner = heartbeat.machine if cluster.is_newest(heartbeat) else ""
-        return Reply(200, encode(HeartbeatResponse(cluster.fencing_token, commands)), owner=owner)
+        return self._renew_in_degraded_mode(heartbeat, now)
+
+    def _not_renewed(self) -> Reply:
+        """A recent cancellation may be unknown here. The worker tries the next controller, which may know it."""
+        self._count_event("not_renewed")
+        return Reply(503)
 
     def _renew_in_degraded_mode(self, heartbeat: WorkerHeartbeat, now: float) -> Reply:
         """Renews the lease while no controller can lead. The response's fencing token is at least the worker's own, so
--- a/sorrelsill/workers/cluster_state.py
+++ b/sorrelsill/workers/cluster_state.py
@@ -8,6 +8,7 @@
 from sorrelsill.model import JobSpec, TaskSet
 from sorrelsill.workers import adoption, heartbeats, loss, stopping
 from sorrelsill.workers.cluster_records import ClusterRecords
+from sorrelsill.workers.commands import response_commands
 from sorrelsill.workers.job import Job
 from sorrelsill.workers.machine import Attempt, Machine
 from sorrelsill.workers.messages import Command, WorkerHeartbeat
@@ -27,6 +28,10 @@
         self._watch_if_new(heartbeat.machine)
         return commands
 
+    def commands_for(self, name: str, jobs_fresh: bool) -> list[Command]:
+        """The commands for the answer to the newest heartbeat of a machine, as they are due now."""
+        return response_commands(self, self.machines[name], jobs_fresh)
+
     def is_newest(self, heartbeat: WorkerHeartbeat) -> bool:
         """Whether this is the newest heartbeat accepted from its machine."""
         machine = self.machines.get(heartbeat.machine)
--- a/tests/scenarios/test_job_lifecycle.py
+++ b/tests/scenarios/test_job_lifecycle.py
@@ -1,5 +1,7 @@
 """Jobs from submission to completion or cancellation."""
 
+import itertools
+
 import trio
 
 from sorrelsill.settings import Team
@@ -57,3 +59,19 @@
         assert (await simulation.cancel("run-big"))["phase"] == "cancelled"
 
     run_scenario(scenario)
+
+
+def test_machine_gets_its_next_task_in_the_answer_to_the_heartbeat_that_reports_the_last_one() -> None:
+    """Without waiting for the scheduling cycle that the heartbeat causes, the start goes in the answer to the next
+    heartbeat, half a second later."""
+
+    async def scenario(simulation: SimulatedCluster) -> None:
+        simulation.cloud.capacity = 1
+        run_s = 2.7
+        await simulation.submit(job("run-a", shards=12, vcpus=8.0, sizeGb=0.0, expectedRunS=run_s))
+        await simulation.until_phase("run-a", "done")
+        started_at = [at for at, _, _ in simulation.starts]
+        gaps = [later - earlier for earlier, later in itertools.pairwise(started_at)]
+        assert len(gaps) == 11 and max(gaps) < run_s + 0.5
+
+    run_scenario(scenario)
