workers: a new leader keeps the tasks of a worker that restarted in an earlier term

What callers would see: a late heartbeat of the old worker is the first message of the machine that a new leader receives. The new worker's messages then show a restart, and every task that the earlier leader had started on it is stopped.

Cause, found by reading: an unfenced worker was told to stop all that it reports, on the assumption that no leader had started any of it. A machine that was declared lost is told to stop all.

--- a/sorrelsill/workers/heartbeats.py
+++ b/sorrelsill/workers/heartbeats.py
@@ -20,6 +20,7 @@
     begin_restarted_worker,
     comes_from_another_worker,
     may_be_restarted,
+    respond_to_unfenced,
     stop_all_tasks,
 )
 
@@ -41,9 +42,8 @@
         return None
     machine = _get_or_add_machine(cluster, heartbeat, now)
     if heartbeat.fencing_token < machine.required_token:
-        if machine.token_acknowledged:
-            return None  # a late copy: the present worker has shown the token
-        return stop_all_tasks(heartbeat) if may_command else []
+        commands = respond_to_unfenced(cluster, machine, heartbeat, now)
+        return commands if may_command or commands is None else []
     if comes_from_another_worker(machine, heartbeat):
         _on_refused(cluster, machine, heartbeat, now)
         return stop_all_tasks(heartbeat) if may_command else []
--- a/sorrelsill/workers/restarts.py
+++ b/sorrelsill/workers/restarts.py
@@ -101,17 +101,35 @@
     machine.token_may_be_inherited = False
     machine.wake_up_sent = False
     machine.lease_expired = False
-    machine.unacknowledged_since = None
-    machine.last_seen_at = now
+    machine.unacknowledged_since = machine.last_seen_at = now
     machine.lease_renewed_at = now  # the new worker's lease counts from its beginning, which was before now
     cluster.last_heartbeat_at = now  # this controller reaches the worker
     cluster.restarts.add(machine)
     cluster.wake_scheduler = True
 
 
+def respond_to_unfenced(
+    cluster: ClusterRecords, machine: Machine, heartbeat: WorkerHeartbeat, now: float
+) -> list[Command] | None:
+    """The commands for a restarted worker that has not shown the required token, or None if it is not to be answered.
+
+    The heartbeat may be a late copy, so it changes nothing but the time from which the lease counts. If it is not, the
+    response gives the worker the token, and stops the tasks of jobs that are not live. It may run others: an earlier
+    leader started them if the restart was before this term. After a while without the token, our responses do not reach
+    the worker, and its lease has to expire."""
+    if machine.token_acknowledged:
+        return None  # a late copy: the present worker has shown the token
+    since = machine.unacknowledged_since
+    if since is not None and now - since > cluster.leases.unreachable_after_s:
+        return None
+    if machine.lease_expired:
+        return stop_all_tasks(heartbeat)  # all its tasks are declared lost
+    machine.lease_renewed_at = now
+    return [command for command in stop_all_tasks(heartbeat) if command.task_id.rpartition("/")[0] not in cluster.jobs]
+
+
 def stop_all_tasks(heartbeat: WorkerHeartbeat) -> list[Command]:
-    """The commands for a worker that has not shown the token of this term, or the one that its restart requires. Its
-    heartbeat may be a late copy, so it changes nothing. If it is not, the response gives the worker the token, and
-    stops what it runs: this leader has sent it no start, so late commands of others have started its tasks."""
+    """Commands that stop all tasks which the heartbeat reports. A worker that has not shown our token, though its
+    machine has, began in this term, and no leader has sent it a start: late commands have started its tasks."""
     running = (task for task in heartbeat.tasks if task.phase != TaskPhase.EXITED)
     return [StopCommand(task.task_id, task.attempt_number, 0.0) for task in running]
--- a/tests/scenarios/test_machine_restarts.py
+++ b/tests/scenarios/test_machine_restarts.py
@@ -201,6 +201,35 @@
     run_scenario(scenario)
 
 
+def test_tasks_of_a_worker_that_restarted_in_an_earlier_term_run_on() -> None:
+    """A late heartbeat of the old worker is the first that the next leader receives, so the new worker's messages show
+    a restart to it. Without care, it would stop the tasks that its predecessor started on the new worker."""
+
+    async def scenario(simulation: SimulatedCluster) -> None:
+        name, _ = await two_machines(simulation)
+        await simulation.submit(short_task("run-c", shape="standing", expectedRunS=0.0, region="a"))
+        assert await machine_of(simulation, "run-c") == name
+        sent = record_messages(simulation, "/hello")
+        await trio.sleep(2)
+        old_heartbeat = [request for src, _, request in sent if src == name][-1]
+        worker = await simulation.restart_machine(name, 1.0)
+        await simulation.until(lambda: bool(simulation.running("run-c")), DETECTED_S)
+        await trio.sleep(2)
+        leader = await simulation.until_leader()
+        simulation.kill(leader)
+        simulation.net.refused |= {(label, name) for label in LABELS} | {(name, label) for label in LABELS}
+        await simulation.until(lambda: simulation.leader() not in (None, leader), 20)
+        for label in LABELS:
+            await simulation.net.deliver_copy(name, label, old_heartbeat)
+        simulation.net.refused.clear()
+        await trio.sleep(3 * LEASE_S)
+        assert starts_of(simulation, "run-c") == 2 and worker.incarnation == 1
+        simulation.start(leader)
+        await simulation.wait_for_convergence()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("age_s", [3.0, WARM_UP_S], ids=["young", "old"])
 def test_late_copies_of_the_old_workers_heartbeats_change_nothing(age_s: float) -> None:
     """Without a token that the old worker cannot have seen, its heartbeats with higher numbers count as the newest:
